--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,37 @@
+// Package metrics serves the Prometheus metrics of a process, and pprof when asked for, on a port of its own.
+package metrics
+
+import (
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Namespace prefixes every metric name.
+const Namespace = "plantainseam"
+
+// readHeaderTimeout bounds how long a scraper may take to send its request.
+const readHeaderTimeout = 5 * time.Second
+
+// NewRegistry returns a registry with the Go runtime and process collectors.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return r
+}
+
+// NewServer returns an HTTP server for /metrics, and for /debug/pprof/ when withPprof is set.
+func NewServer(r *prometheus.Registry, withPprof bool) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	if withPprof {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+}
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,275 @@
+package settings
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+)
+
+// checker collects the first fault found.
+type checker struct {
+	path  string
+	lines map[string]int
+	err   error
+}
+
+// fail records a fault at a key. Only the first is kept.
+func (c *checker) fail(code result.Code, key, format string, args ...any) {
+	if c.err != nil {
+		return
+	}
+	c.err = result.Errorf(code, "%s:%d: key %q: %s", c.path, c.lineOf(key), key, fmt.Sprintf(format, args...))
+}
+
+// lineOf returns the line of a key, or of the nearest parent that exists.
+func (c *checker) lineOf(key string) int {
+	for {
+		if line, ok := c.lines[key]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(key, ".[")
+		if cut < 0 {
+			return 1
+		}
+		key = key[:cut]
+	}
+}
+
+func (c *checker) check(f *file) *Settings {
+	s := &Settings{DataDir: f.DataDir, Pprof: f.Pprof}
+	s.Host = model.HostID(c.name("host", f.Host))
+	s.FailureDomain = model.FailureDomain(c.name("failure_domain", f.FailureDomain))
+	s.Roles = c.roles(f.Roles)
+	s.LogLevel = c.logLevel(f.LogLevel)
+	s.RPC = c.address("rpc", f.RPC)
+	if f.Metrics != "" {
+		s.Metrics = c.address("metrics", f.Metrics)
+	}
+	if f.Pprof && f.Metrics == "" {
+		c.fail(result.SettingsContradictory, "pprof", "pprof is served on the metrics port, and metrics is not set")
+	}
+	s.TLS = c.tls(f.TLS)
+	s.Control = c.control(s, f.Control)
+	s.Tunnel = c.tunnel(s, f.Tunnel)
+	s.Upstream = c.upstream(s, f.Upstream)
+	if s.Has(RoleControl) && f.DataDir == "" {
+		c.fail(result.SettingsMissing, "data_dir", "the control role needs a data directory")
+	}
+	return s
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62})$`)
+
+func (c *checker) name(key, value string) string {
+	if value == "" {
+		c.fail(result.SettingsMissing, key, "a value is required")
+		return ""
+	}
+	if !namePattern.MatchString(value) {
+		c.fail(result.SettingsBadValue, key, "%q is not a name of lower-case letters, digits, dots and dashes", value)
+	}
+	return value
+}
+
+func (c *checker) roles(values []string) []Role {
+	if len(values) == 0 {
+		c.fail(result.SettingsMissing, "roles", "at least one role is required")
+	}
+	seen := map[Role]bool{}
+	var roles []Role
+	for i, value := range values {
+		key := fmt.Sprintf("roles[%d]", i)
+		role := Role(value)
+		switch role {
+		case RoleEntry, RoleUpstream, RoleControl:
+		default:
+			c.fail(result.SettingsBadValue, key, "%q is not entry, upstream or control", value)
+		}
+		if seen[role] {
+			c.fail(result.SettingsContradictory, key, "role %q is listed twice", value)
+		}
+		seen[role] = true
+		roles = append(roles, role)
+	}
+	if seen[RoleEntry] && seen[RoleUpstream] {
+		c.fail(result.SettingsContradictory, "roles", "entry and upstream need a tunnel port each and exclude each other in one process")
+	}
+	return roles
+}
+
+func (c *checker) logLevel(value string) string {
+	switch value {
+	case "":
+		return "info"
+	case "debug", "info", "warn", "error":
+		return value
+	}
+	c.fail(result.SettingsBadValue, "log_level", "%q is not debug, info, warn or error", value)
+	return ""
+}
+
+func (c *checker) address(key, value string) netip.AddrPort {
+	if value == "" {
+		c.fail(result.SettingsMissing, key, "an address and port are required")
+		return netip.AddrPort{}
+	}
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		c.fail(result.SettingsBadValue, key, "%q is not an IP address and port", value)
+		return netip.AddrPort{}
+	}
+	if address.Port() == 0 {
+		c.fail(result.SettingsBadValue, key, "port 0 is not allowed")
+	}
+	return address
+}
+
+func (c *checker) tls(f fileTLS) TLS {
+	t := TLS{Certificate: f.Certificate, Key: f.Key, Authority: f.Authority, Insecure: f.Insecure}
+	files := map[string]string{"tls.certificate": f.Certificate, "tls.key": f.Key, "tls.authority": f.Authority}
+	for _, key := range []string{"tls.certificate", "tls.key", "tls.authority"} {
+		if f.Insecure && files[key] != "" {
+			c.fail(result.SettingsContradictory, key, "tls.insecure is set as well")
+		}
+		if !f.Insecure && files[key] == "" {
+			c.fail(result.SettingsMissing, key, "a file is required unless tls.insecure is set")
+		}
+	}
+	return t
+}
+
+func (c *checker) control(s *Settings, f fileControl) Control {
+	out := Control{Bootstrap: f.Bootstrap, SigningKey: f.SigningKey}
+	if len(f.Servers) < minControlServers || len(f.Servers) > maxControlServers {
+		c.fail(result.SettingsBadValue, "control.servers", "%d servers; %d to %d are allowed", len(f.Servers), minControlServers, maxControlServers)
+	}
+	names := map[model.HostID]bool{}
+	for i, server := range f.Servers {
+		key := fmt.Sprintf("control.servers[%d]", i)
+		name := model.HostID(c.name(key+".name", server.Name))
+		if names[name] {
+			c.fail(result.SettingsContradictory, key+".name", "server %q is listed twice", name)
+		}
+		names[name] = true
+		out.Servers = append(out.Servers, ControlServer{Name: name, RPC: c.address(key+".rpc", server.RPC)})
+	}
+	c.controlRole(s, f, names)
+	return out
+}
+
+func (c *checker) controlRole(s *Settings, f fileControl, names map[model.HostID]bool) {
+	if !s.Has(RoleControl) {
+		if f.Bootstrap {
+			c.fail(result.SettingsContradictory, "control.bootstrap", "the process has no control role")
+		}
+		if f.SigningKey != "" {
+			c.fail(result.SettingsContradictory, "control.signing_key", "the process has no control role")
+		}
+		return
+	}
+	if f.Bootstrap && !names[s.Host] {
+		c.fail(result.SettingsContradictory, "control.bootstrap", "host %q is not in control.servers", s.Host)
+	}
+	if f.SigningKey == "" {
+		c.fail(result.SettingsMissing, "control.signing_key", "the control role signs reports and needs a key file")
+	}
+}
+
+func (c *checker) tunnel(s *Settings, f fileTunnel) Tunnel {
+	var t Tunnel
+	if !s.Has(RoleEntry) && !s.Has(RoleUpstream) {
+		if f.Listen != "" {
+			c.fail(result.SettingsContradictory, "tunnel.listen", "the process has neither the entry nor the upstream role")
+		}
+		return t
+	}
+	t.Listen = c.address("tunnel.listen", f.Listen)
+	if s.Has(RoleUpstream) {
+		t.Fabric = c.address("tunnel.fabric", f.Fabric)
+	} else if f.Fabric != "" {
+		c.fail(result.SettingsContradictory, "tunnel.fabric", "only the upstream role sends to the fabric")
+	}
+	t.Keys = c.keys(f.Keys)
+	return t
+}
+
+func (c *checker) keys(files []fileKey) []TunnelKey {
+	if len(files) < 1 || len(files) > 2 {
+		c.fail(result.SettingsBadValue, "tunnel.keys", "%d keys; one, or two during rotation, are allowed", len(files))
+	}
+	ids := map[int]bool{}
+	var keys []TunnelKey
+	for i, f := range files {
+		key := fmt.Sprintf("tunnel.keys[%d]", i)
+		if f.ID < 1 || f.ID > 255 {
+			c.fail(result.SettingsBadValue, key+".id", "%d is not between 1 and 255", f.ID)
+		}
+		if ids[f.ID] {
+			c.fail(result.SettingsContradictory, key+".id", "id %d is used twice", f.ID)
+		}
+		ids[f.ID] = true
+		secret, err := base64.StdEncoding.DecodeString(f.Secret)
+		if err != nil {
+			c.fail(result.SettingsBadValue, key+".secret", "not base64: %v", err)
+		} else if len(secret) < minSecretBytes {
+			c.fail(result.SettingsBadValue, key+".secret", "%d bytes; at least %d are required", len(secret), minSecretBytes)
+		}
+		keys = append(keys, TunnelKey{ID: uint8(f.ID), Secret: secret})
+	}
+	return keys
+}
+
+func (c *checker) upstream(s *Settings, f fileUpstream) Upstream {
+	var u Upstream
+	if !s.Has(RoleUpstream) {
+		if f.Backend != "" || len(f.Carries) > 0 {
+			c.fail(result.SettingsContradictory, "upstream", "the process has no upstream role")
+		}
+		return u
+	}
+	if len(f.Carries) == 0 {
+		c.fail(result.SettingsMissing, "upstream.carries", "at least one service is required")
+	}
+	for i, name := range f.Carries {
+		u.Carries = append(u.Carries, c.name(fmt.Sprintf("upstream.carries[%d]", i), name))
+	}
+	u.Backend = c.address("upstream.backend", f.Backend)
+	u.Slots = c.number("upstream.slots", f.Slots, defaultSlots, maxSlots)
+	u.MaxConnections = c.number("upstream.max_connections", f.MaxConnections, defaultMaxConnections, maxConnectionsLimit)
+	u.ProbeCount = c.number("upstream.probe_count", f.ProbeCount, defaultProbeCount, 10)
+	u.ProbeInterval = defaultProbeInterval
+	if f.ProbeInterval != nil {
+		u.ProbeInterval = *f.ProbeInterval
+	}
+	c.silence(u)
+	return u
+}
+
+// silence checks that a silent flow is ended in time: one interval passes before the first probe.
+func (c *checker) silence(u Upstream) {
+	if u.ProbeInterval < time.Second {
+		c.fail(result.SettingsBadValue, "upstream.probe_interval", "%s is shorter than 1 s", u.ProbeInterval)
+		return
+	}
+	total := u.ProbeInterval * time.Duration(u.ProbeCount+1)
+	if total > maxSilence {
+		c.fail(result.SettingsContradictory, "upstream.probe_interval", "%d probes every %s need %s; a silent flow must end within %s", u.ProbeCount, u.ProbeInterval, total, maxSilence)
+	}
+}
+
+// number returns the value or its default, and checks that it is between 1 and limit.
+func (c *checker) number(key string, value *int, preset, limit int) int {
+	if value == nil {
+		return preset
+	}
+	if *value < 1 || *value > limit {
+		c.fail(result.SettingsBadValue, key, "%d is not between 1 and %d", *value, limit)
+	}
+	return *value
+}
