--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -131,7 +131,7 @@
 }
 
 func (c *checker) tls(f fileTLS) TLS {
-	t := TLS{Certificate: f.Certificate, Key: f.Key, Authority: f.Authority, Insecure: f.Insecure}
+	t := TLS(f)
 	files := map[string]string{"tls.certificate": f.Certificate, "tls.key": f.Key, "tls.authority": f.Authority}
 	for _, key := range []string{"tls.certificate", "tls.key", "tls.authority"} {
 		if f.Insecure && files[key] != "" {
