Write the lead packages' tests with ginkgo

Cause: the house style asks for ginkgo and gomega; the first tests used the testing package with gomega only. Change: the same cases as ginkgo specs and tables; no assertion removed. Conclusion: one test style over the repository.

--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -3,13 +3,15 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/result"
@@ -27,9 +29,9 @@
 	return f.answer(r)
 }
 
-func start(t *testing.T, f *fakeControl) string {
+func start(f *fakeControl) string {
 	server := httptest.NewServer(memberpb.NewMembershipServer(f))
-	t.Cleanup(server.Close)
+	DeferCleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
@@ -57,66 +59,64 @@
 }
 
 // Guards against a lease that runs longer at the host than at the control VMs because an answer was slow.
-func TestLeaseCountsFromTheCall(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("counts a lease from the sending of the call", func() {
 	now := time.Unix(1000, 0)
 	slow := &fakeControl{answer: func(r *memberpb.AnnounceRequest) (*memberpb.AnnounceResponse, error) {
 		now = now.Add(3 * time.Second)
 		return accept(r)
 	}}
-	client, source := newClient(func() time.Time { return now }, start(t, slow))
+	client, source := newClient(func() time.Time { return now }, start(slow))
 	client.Announce(context.Background())
-	g.Expect(client.Lease().Until).To(Equal(time.Unix(1005, 0)))
-	g.Expect(client.Lease().Revision).To(BeEquivalentTo(7))
-	g.Expect(source.acknowledged).To(Equal([]uint64{1}))
-	g.Expect(client.Lease().Valid(time.Unix(1005, 0))).To(BeFalse())
-}
+	Expect(client.Lease().Until).To(Equal(time.Unix(1005, 0)))
+	Expect(client.Lease().Revision).To(BeEquivalentTo(7))
+	Expect(source.acknowledged).To(Equal([]uint64{1}))
+	Expect(client.Lease().Valid(time.Unix(1005, 0))).To(BeFalse())
+})
 
 // Guards against an announcement that never arrives because the first control VM is down, not the leader, or names a
 // leader that is gone.
-func TestFindsTheLeader(t *testing.T) {
+var _ = Describe("finds the leader", func() {
 	leader := func() *fakeControl { return &fakeControl{answer: accept} }
-	cases := map[string]func(t *testing.T, leaderAddress string) *fakeControl{
-		"first is down": func(*testing.T, string) *fakeControl { return &fakeControl{answer: fail} },
-		"first follows": func(_ *testing.T, address string) *fakeControl {
+	cases := map[string]func(leaderAddress string) *fakeControl{
+		"first is down": func(string) *fakeControl { return &fakeControl{answer: fail} },
+		"first follows": func(address string) *fakeControl {
 			return &fakeControl{answer: func(*memberpb.AnnounceRequest) (*memberpb.AnnounceResponse, error) {
 				return &memberpb.AnnounceResponse{Code: uint32(result.NotLeader), Leader: address}, nil
 			}}
 		},
-		"first knows no leader": func(*testing.T, string) *fakeControl {
+		"first knows no leader": func(string) *fakeControl {
 			return &fakeControl{answer: func(*memberpb.AnnounceRequest) (*memberpb.AnnounceResponse, error) {
 				return &memberpb.AnnounceResponse{Code: uint32(result.NotLeader)}, nil
 			}}
 		},
-		"first names one that is gone": func(t *testing.T, _ string) *fakeControl {
-			gone := start(t, &fakeControl{answer: fail})
+		"first names one that is gone": func(_ string) *fakeControl {
+			gone := start(&fakeControl{answer: fail})
 			return &fakeControl{answer: func(*memberpb.AnnounceRequest) (*memberpb.AnnounceResponse, error) {
 				return &memberpb.AnnounceResponse{Code: uint32(result.NotLeader), Leader: gone}, nil
 			}}
 		},
 	}
-	for name, first := range cases {
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It(name, func() {
+			first := cases[name]
 			real := leader()
-			address := start(t, real)
-			client, source := newClient(time.Now, start(t, first(t, address)), address)
+			address := start(real)
+			client, source := newClient(time.Now, start(first(address)), address)
 			client.Announce(context.Background())
-			g.Expect(real.calls).To(Equal(1))
-			g.Expect(source.acknowledged).To(HaveLen(1))
+			Expect(real.calls).To(Equal(1))
+			Expect(source.acknowledged).To(HaveLen(1))
 		})
 	}
-}
+})
 
 // Guards against a refused host that keeps a lease.
-func TestRefusalGrantsNothing(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("grants no lease to a refused host", func() {
 	refuse := &fakeControl{answer: func(*memberpb.AnnounceRequest) (*memberpb.AnnounceResponse, error) {
 		return &memberpb.AnnounceResponse{Code: uint32(result.AnnounceNotPermitted), LeaseMs: 5000}, nil
 	}}
-	client, source := newClient(time.Now, start(t, refuse))
+	client, source := newClient(time.Now, start(refuse))
 	client.Announce(context.Background())
-	g.Expect(client.Lease().Valid(time.Now())).To(BeFalse())
-	g.Expect(source.acknowledged).To(BeEmpty())
-	g.Expect(refuse.calls).To(Equal(1))
-}
+	Expect(client.Lease().Valid(time.Now())).To(BeFalse())
+	Expect(source.acknowledged).To(BeEmpty())
+	Expect(refuse.calls).To(Equal(1))
+})
--- a/internal/hlc/hlc_test.go
+++ b/internal/hlc/hlc_test.go
@@ -1,62 +1,61 @@
 package hlc_test
 
 import (
-	"testing"
+	"maps"
+	"slices"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/hlc"
 )
 
 // Guards against events that order before the message that caused them, when the receiver's clock is behind.
-func TestObservedMessageOrdersBeforeLaterEvents(t *testing.T) {
+var _ = Describe("orders a received message before later events", func() {
 	cases := map[string]time.Duration{
 		"receiver behind": -5 * time.Second,
 		"receiver ahead":  5 * time.Second,
 		"equal clocks":    0,
 	}
-	for name, offset := range cases {
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It(name, func() {
+			offset := cases[name]
 			base := time.UnixMilli(1_000_000)
 			sender := hlc.New(func() time.Time { return base })
 			receiver := hlc.New(func() time.Time { return base.Add(offset) })
 			sent := sender.Now()
-			g.Expect(receiver.Observe(sent)).To(Succeed())
-			g.Expect(sent.Before(receiver.Now())).To(BeTrue())
+			Expect(receiver.Observe(sent)).To(Succeed())
+			Expect(sent.Before(receiver.Now())).To(BeTrue())
 		})
 	}
-}
+})
 
 // Guards against a wall clock that is set back and would repeat timestamps.
-func TestClockNeverGoesBack(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("never goes back with the wall clock", func() {
 	now := time.UnixMilli(1_000_000)
 	clock := hlc.New(func() time.Time { return now })
 	first := clock.Now()
 	now = now.Add(-time.Hour)
-	g.Expect(first.Before(clock.Now())).To(BeTrue())
-}
+	Expect(first.Before(clock.Now())).To(BeTrue())
+})
 
 // Guards against one process with a wrong clock moving the clocks of all others.
-func TestFarFutureIsRefused(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("refuses a timestamp far in the future", func() {
 	now := time.UnixMilli(1_000_000)
 	clock := hlc.New(func() time.Time { return now })
-	g.Expect(clock.Observe(hlc.Timestamp{Wall: now.Add(time.Hour).UnixMilli()})).NotTo(Succeed())
-	g.Expect(clock.Now().Wall).To(Equal(now.UnixMilli()))
-}
+	Expect(clock.Observe(hlc.Timestamp{Wall: now.Add(time.Hour).UnixMilli()})).NotTo(Succeed())
+	Expect(clock.Now().Wall).To(Equal(now.UnixMilli()))
+})
 
 // Guards against a header that one side writes and the other cannot read.
-func TestParseReadsString(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("parses what it prints", func() {
 	want := hlc.Timestamp{Wall: 42, Logical: 7}
 	got, err := hlc.Parse(want.String())
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(got).To(Equal(want))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(got).To(Equal(want))
 	for _, bad := range []string{"", "1", "x.1", "1.x", "1.-1"} {
 		_, err := hlc.Parse(bad)
-		g.Expect(err).To(HaveOccurred(), bad)
+		Expect(err).To(HaveOccurred(), bad)
 	}
-}
+})
--- a/internal/result/result_test.go
+++ b/internal/result/result_test.go
@@ -4,18 +4,17 @@
 	"fmt"
 	"os"
 	"strings"
-	"testing"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/result"
 )
 
 // Guards against a result code that the operators' page lacks or describes differently.
-func TestPageListsEveryCode(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("lists every code on the page", func() {
 	page, err := os.ReadFile("../../docs/result-codes.md")
-	g.Expect(err).NotTo(HaveOccurred())
+	Expect(err).NotTo(HaveOccurred())
 
 	var want []string
 	for _, c := range result.All() {
@@ -28,16 +27,15 @@
 			got = append(got, line)
 		}
 	}
-	g.Expect(got).To(Equal(want))
-}
+	Expect(got).To(Equal(want))
+})
 
 // Guards against a wrapped error that loses its code on the way up.
-func TestCodeOf(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("keeps the code through wrapping", func() {
 	coded := result.Errorf(result.NotLeader, "leader is %s", "c2")
-	g.Expect(result.CodeOf(nil)).To(Equal(result.OK))
-	g.Expect(result.CodeOf(fmt.Errorf("plan: %w", coded))).To(Equal(result.NotLeader))
-	g.Expect(result.CodeOf(fmt.Errorf("plain"))).To(Equal(result.Internal))
-	g.Expect(result.NotLeader.Exit()).To(Equal(40))
-	g.Expect(coded.Error()).To(Equal("PS4001 not-leader: leader is c2"))
-}
+	Expect(result.CodeOf(nil)).To(Equal(result.OK))
+	Expect(result.CodeOf(fmt.Errorf("plan: %w", coded))).To(Equal(result.NotLeader))
+	Expect(result.CodeOf(fmt.Errorf("plain"))).To(Equal(result.Internal))
+	Expect(result.NotLeader.Exit()).To(Equal(40))
+	Expect(coded.Error()).To(Equal("PS4001 not-leader: leader is c2"))
+})
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,10 +1,12 @@
 package settings_test
 
 import (
+	"maps"
+	"slices"
 	"strings"
-	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/result"
@@ -35,21 +37,20 @@
 `
 
 // Guards against a good file that is refused or read with wrong values.
-func TestParse(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("parses a good file", func() {
 	s, err := settings.Parse("u1.yaml", []byte(upstreamFile))
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(s.Has(settings.RoleUpstream)).To(BeTrue())
-	g.Expect(s.Has(settings.RoleEntry)).To(BeFalse())
-	g.Expect(s.Upstream.Slots).To(Equal(3))
-	g.Expect(s.Upstream.MaxConnections).To(Equal(2000))
-	g.Expect(s.Upstream.ProbeInterval).To(Equal(10 * time.Second))
-	g.Expect(s.Tunnel.Keys).To(HaveLen(1))
-	g.Expect(s.Control.Servers[0].RPC.String()).To(Equal("127.0.3.1:7000"))
-}
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Has(settings.RoleUpstream)).To(BeTrue())
+	Expect(s.Has(settings.RoleEntry)).To(BeFalse())
+	Expect(s.Upstream.Slots).To(Equal(3))
+	Expect(s.Upstream.MaxConnections).To(Equal(2000))
+	Expect(s.Upstream.ProbeInterval).To(Equal(10 * time.Second))
+	Expect(s.Tunnel.Keys).To(HaveLen(1))
+	Expect(s.Control.Servers[0].RPC.String()).To(Equal("127.0.3.1:7000"))
+})
 
 // Guards against a faulty file that starts a process, and against a fault that does not say where it is.
-func TestFaults(t *testing.T) {
+var _ = Describe("reports the file, line and key of each fault", func() {
 	cases := map[string]struct {
 		old, new string
 		code     result.Code
@@ -86,19 +87,19 @@
 			result.SettingsContradictory, `f.yaml:12: key "control.servers[1].name"`},
 		"not YAML": {"host: ub-u1", "host: [", result.SettingsUnreadable, "f.yaml"},
 	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
-			g.Expect(upstreamFile).To(ContainSubstring(c.old))
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It(name, func() {
+			c := cases[name]
+			Expect(upstreamFile).To(ContainSubstring(c.old))
 			_, err := settings.Parse("f.yaml", []byte(strings.Replace(upstreamFile, c.old, c.new, 1)))
-			g.Expect(result.CodeOf(err)).To(Equal(c.code), "%v", err)
-			g.Expect(err.Error()).To(ContainSubstring(c.where))
+			Expect(result.CodeOf(err)).To(Equal(c.code), "%v", err)
+			Expect(err.Error()).To(ContainSubstring(c.where))
 		})
 	}
-}
+})
 
 // Guards against a missing file that is reported without a number.
-func TestLoadMissingFile(t *testing.T) {
+var _ = It("numbers a missing file", func() {
 	_, err := settings.Load("does-not-exist.yaml")
-	NewWithT(t).Expect(result.CodeOf(err)).To(Equal(result.SettingsUnreadable))
-}
+	Expect(result.CodeOf(err)).To(Equal(result.SettingsUnreadable))
+})
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"testing"
+	"maps"
+	"slices"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/hlc"
@@ -26,38 +28,36 @@
 }
 
 // Guards against an effect that is listed before its cause because the clocks of two VMs differ.
-func TestMergeKeepsCausalOrder(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("merges in causal order", func() {
 	leader := newProcess("c1", 0, 10)
 	entry := newProcess("e1", -3*time.Second, 10)
 
 	leader.recorder.Record(timeline.Event{Kind: timeline.KindStep, Intent: 7})
-	g.Expect(entry.clock.Observe(leader.clock.Now())).To(Succeed())
+	Expect(entry.clock.Observe(leader.clock.Now())).To(Succeed())
 	entry.recorder.Record(timeline.Event{Kind: timeline.KindConfigApplied, Intent: 7})
 
 	a, _ := leader.recorder.Events(0, 10)
 	b, _ := entry.recorder.Events(0, 10)
 	merged := timeline.Merge(timeline.Filter{Intent: 7}, b, a)
-	g.Expect(merged).To(HaveLen(2))
-	g.Expect(merged[0].Kind).To(Equal(timeline.KindStep))
-	g.Expect(merged[1].Kind).To(Equal(timeline.KindConfigApplied))
-}
+	Expect(merged).To(HaveLen(2))
+	Expect(merged[0].Kind).To(Equal(timeline.KindStep))
+	Expect(merged[1].Kind).To(Equal(timeline.KindConfigApplied))
+})
 
 // Guards against a ring that silently forgets: the overwritten events must be counted.
-func TestRingCountsOverwrittenEvents(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("counts overwritten events", func() {
 	p := newProcess("e1", 0, 4)
 	for range 10 {
 		p.recorder.Record(timeline.Event{Kind: timeline.KindFlow})
 	}
 	events, dropped := p.recorder.Events(0, 100)
-	g.Expect(events).To(HaveLen(4))
-	g.Expect(dropped).To(BeEquivalentTo(6))
-	g.Expect(events[0].Sequence).To(BeEquivalentTo(7))
-}
+	Expect(events).To(HaveLen(4))
+	Expect(dropped).To(BeEquivalentTo(6))
+	Expect(events[0].Sequence).To(BeEquivalentTo(7))
+})
 
 // Guards against a filter that lets other services, hosts, callers or times through.
-func TestFilter(t *testing.T) {
+var _ = Describe("filters events", func() {
 	event := timeline.Event{
 		Time: hlc.Timestamp{Wall: 5000}, Process: model.HostRef{Host: "e1"},
 		Service: 3, Host: "u1", Intent: 9, Caller: "10.0.0.1",
@@ -77,34 +77,34 @@
 		"too early":     {timeline.Filter{From: time.UnixMilli(5001)}, false},
 		"at the end":    {timeline.Filter{To: time.UnixMilli(5000)}, false},
 	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			NewWithT(t).Expect(c.filter.Matches(event)).To(Equal(c.want))
+	for _, name := range slices.Sorted(maps.Keys(cases)) {
+		It(name, func() {
+			c := cases[name]
+			Expect(c.filter.Matches(event)).To(Equal(c.want))
 		})
 	}
-}
+})
 
 // Guards against fields lost on the wire and against output that is empty or not parseable.
-func TestFetchAndRender(t *testing.T) {
-	g := NewWithT(t)
+var _ = It("fetches and renders events", func() {
 	p := newProcess("u1", 0, 5000)
 	for i := range 2500 {
 		p.recorder.Record(timeline.Event{Kind: timeline.KindFlow, Service: 2, Host: "u1", Caller: "10.0.0.1", Code: 2108, Intent: uint64(i), Detail: "no answer to probes"})
 	}
 	want, _ := p.recorder.Events(0, 5000)
 	got, dropped, err := timeline.Fetch(context.Background(), local{timeline.Server{Recorder: p.recorder}})
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(dropped).To(BeZero())
-	g.Expect(got).To(Equal(want))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(dropped).To(BeZero())
+	Expect(got).To(Equal(want))
 
 	var text, svg, js bytes.Buffer
-	g.Expect(timeline.WriteText(&text, got[:1])).To(Succeed())
-	g.Expect(text.String()).To(ContainSubstring(`kind=flow service=2 host=u1 caller=10.0.0.1 code=2108 detail="no answer to probes"`))
-	g.Expect(timeline.WriteSVG(&svg, got[:20])).To(Succeed())
-	g.Expect(svg.String()).To(ContainSubstring("<svg"))
-	g.Expect(timeline.WriteJSON(&js, got[:1])).To(Succeed())
-	g.Expect(js.String()).To(ContainSubstring(`"Kind": "flow"`))
-}
+	Expect(timeline.WriteText(&text, got[:1])).To(Succeed())
+	Expect(text.String()).To(ContainSubstring(`kind=flow service=2 host=u1 caller=10.0.0.1 code=2108 detail="no answer to probes"`))
+	Expect(timeline.WriteSVG(&svg, got[:20])).To(Succeed())
+	Expect(svg.String()).To(ContainSubstring("<svg"))
+	Expect(timeline.WriteJSON(&js, got[:1])).To(Succeed())
+	Expect(js.String()).To(ContainSubstring(`"Kind": "flow"`))
+})
 
 type local struct{ server timeline.Server }
 
