--- /dev/null
+++ b/internal/agent/packets.go
@@ -0,0 +1,196 @@
+package agent
+
+import (
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+
+	"github.com/plantainseam/plantainseam/internal/flow"
+	"github.com/plantainseam/plantainseam/internal/flow/wire"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/internal/tunnel"
+)
+
+// packetLoop is the packet goroutine. It is the only user of the flow machine and of its own fields.
+type packetLoop struct {
+	agent    *Agent
+	machine  flow.Machine
+	view     *view
+	codec    *tunnel.Codec
+	local    flow.Local
+	draining bool
+	actions  []flow.Action
+	events   []event
+	buf      []byte // outgoing packets, with room for the header in front
+}
+
+func newPacketLoop(a *Agent) *packetLoop {
+	return &packetLoop{
+		agent:   a,
+		machine: a.cfg.Machine,
+		view:    a.view.Load(),
+		codec:   tunnel.NewCodec(&a.keys),
+		buf:     make([]byte, tunnel.MaxHeader+maxDatagram),
+	}
+}
+
+// command runs f on the packet goroutine and waits for its end. It does nothing once the agent is closed.
+func (a *Agent) command(f func(l *packetLoop, now time.Time)) {
+	done := make(chan struct{})
+	run := func(l *packetLoop, now time.Time) {
+		defer close(done)
+		f(l, now)
+	}
+	select {
+	case a.commands <- run:
+		<-done
+	case <-a.stop:
+	}
+}
+
+// run is the loop. Events of the delivery go first, so that the machine knows the flows that have ended before it sees
+// further packets of them.
+func (l *packetLoop) run() {
+	defer l.agent.packets.Done()
+	ticker := time.NewTicker(flow.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.agent.stop:
+			return
+		case <-l.agent.events.ready:
+			l.handleEvents(time.Now())
+		case f := <-l.agent.commands:
+			f(l, time.Now())
+		case in := <-l.agent.inbound:
+			l.handle(time.Now(), in)
+			inboundPool.Put(in)
+		case now := <-ticker.C:
+			l.handleEvents(now)
+			l.actions = l.machine.Tick(now, l.actions[:0])
+			l.execute(now)
+		}
+	}
+}
+
+// install puts a configuration into use.
+func (l *packetLoop) install(v *view) {
+	l.view = v
+	l.agent.view.Store(v)
+}
+
+// setLocal passes the host's state to the machine.
+func (l *packetLoop) setLocal(local flow.Local) {
+	l.local = local
+	local.AcceptNew = local.AcceptNew && !l.draining
+	l.machine.SetLocal(local)
+}
+
+// drain stops new flows for good.
+func (l *packetLoop) drain() {
+	l.draining = true
+	l.setLocal(l.local)
+}
+
+// handleEvents tells the machine about connections that were established or ended.
+func (l *packetLoop) handleEvents(now time.Time) {
+	l.events = l.agent.events.take(l.events)
+	for _, e := range l.events {
+		if e.established {
+			l.machine.Established(e.key)
+			continue
+		}
+		l.machine.Closed(now, e.key)
+	}
+}
+
+// handle passes one verified packet to the machine.
+func (l *packetLoop) handle(now time.Time, in *inbound) {
+	if in.proto == tunnel.ProtoPeer {
+		l.handleMessage(now, in.payload)
+		return
+	}
+	packet, code := l.decode(in)
+	if code != result.OK {
+		l.agent.count.drop(code)
+		return
+	}
+	l.actions = l.machine.Packet(now, packet, l.actions[:0])
+	l.execute(now)
+}
+
+// handleMessage passes a message of another agent to the machine.
+func (l *packetLoop) handleMessage(now time.Time, payload []byte) {
+	from, encoded, ok := splitSender(payload)
+	if !ok {
+		l.agent.count.drop(result.TunnelMalformed)
+		return
+	}
+	message, err := wire.Decode(encoded)
+	if err != nil {
+		l.agent.count.drop(result.TunnelMalformed)
+		return
+	}
+	l.agent.count.messages.Add(1)
+	l.actions = l.machine.Message(now, from, message, l.actions[:0])
+	l.execute(now)
+}
+
+// decode checks that the packet's destination is the frontend of the service in its header, and that the service is
+// registered at this host.
+func (l *packetLoop) decode(in *inbound) (flow.Packet, result.Code) {
+	inner, code := tunnel.ParseInner(in.payload)
+	if code != result.OK {
+		return flow.Packet{}, code
+	}
+	svc := l.view.snapshot.Services[in.header.Service]
+	if svc == nil || svc.Frontend != inner.Frontend {
+		l.fetchIfBehind(in.header.Generation)
+		return flow.Packet{}, result.FlowWrongService
+	}
+	if _, ok := l.agent.cfg.Upstream(svc); !ok {
+		return flow.Packet{}, result.FlowWrongService
+	}
+	packet := flow.Packet{
+		Key:        model.FlowKey{Service: svc.ID, Caller: inner.Caller},
+		Flags:      flagsOf(inner.Flags),
+		Generation: in.header.Generation,
+		Hops:       in.header.Hops,
+		Assigned:   in.header.Assigned,
+		Candidates: l.view.candidates(&in.header),
+		Raw:        in.payload,
+	}
+	if packet.Assigned {
+		packet.Assigner = l.view.hosts[in.header.Assigner]
+	}
+	return packet, result.OK
+}
+
+// fetchIfBehind asks for the configuration of a packet whose service this one lacks.
+func (l *packetLoop) fetchIfBehind(generation model.Revision) {
+	if generation > l.view.snapshot.Revision {
+		l.fetch()
+	}
+}
+
+func (l *packetLoop) fetch() {
+	if l.agent.cfg.Fetch != nil {
+		l.agent.cfg.Fetch()
+	}
+}
+
+// flagsOf converts TCP flags.
+func flagsOf(f header.TCPFlags) flow.Flags {
+	var flags flow.Flags
+	if f.Contains(header.TCPFlagSyn) && !f.Contains(header.TCPFlagAck) {
+		flags |= flow.FlagSYN
+	}
+	if f.Contains(header.TCPFlagRst) {
+		flags |= flow.FlagRST
+	}
+	if f.Contains(header.TCPFlagFin) {
+		flags |= flow.FlagFIN
+	}
+	return flags
+}
--- /dev/null
+++ b/internal/tunnel/seal.go
@@ -0,0 +1,197 @@
+package tunnel
+
+import (
+	"crypto/hmac"
+	"encoding/binary"
+	"sync/atomic"
+
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/internal/routing"
+)
+
+// flagAssigned is the bit of the route option that marks a flow assigned by its home.
+const flagAssigned = 0x01
+
+// Codec signs and verifies packets with the key ring that ring points to. It is used by one goroutine; the ring may be
+// replaced by another at any time.
+type Codec struct {
+	ring *atomic.Pointer[KeyRing]
+	macs macs
+}
+
+// NewCodec returns a codec that reads its keys from ring, which must not hold nil.
+func NewCodec(ring *atomic.Pointer[KeyRing]) *Codec { return &Codec{ring: ring} }
+
+// Seal writes the routing header and MAC in front of the caller's packet at buf[at:] and returns the start of the outer
+// packet. At least MaxHeader bytes must be free before at.
+func (c *Codec) Seal(buf []byte, at int, h *Header) int {
+	length := routeOptionLen + macOption
+	if h.Count > 0 {
+		length += optionHeaderLen + tagLen*int(h.Count)
+	}
+	if h.Assigned {
+		length += optionHeaderLen + tagLen
+	}
+	start := at - BaseLen - length
+	putBase(buf[start:], length, ProtoOf(buf[at:]), true)
+	off := start + BaseLen
+	putRoute(putOption(buf[off:], optionRoute, 16), h)
+	off += routeOptionLen
+	if h.Count > 0 {
+		data := putOption(buf[off:], optionCandidate, tagLen*int(h.Count))
+		for i := range int(h.Count) {
+			binary.BigEndian.PutUint64(data[tagLen*i:], uint64(h.Candidates[i]))
+		}
+		off += optionHeaderLen + len(data)
+	}
+	if h.Assigned {
+		binary.BigEndian.PutUint64(putOption(buf[off:], optionAssigner, tagLen), uint64(h.Assigner))
+		off += optionHeaderLen + tagLen
+	}
+	c.sign(buf[start:], off-start)
+	return start
+}
+
+// SealPeer writes header and MAC in front of the agents' message at buf[at:] and returns the start of the outer packet.
+func (c *Codec) SealPeer(buf []byte, at int) int {
+	start := at - BaseLen - macOption
+	putBase(buf[start:], macOption, ProtoPeer, true)
+	c.sign(buf[start:], BaseLen)
+	return start
+}
+
+// sign writes the MAC option at packet[off:].
+func (c *Codec) sign(packet []byte, off int) {
+	c.macs.use(c.ring.Load())
+	data := putOption(packet[off:], optionMAC, 4+MACLen)
+	data[0] = c.macs.ring.current.ID
+	data[1], data[2], data[3] = 0, 0, 0
+	copy(data[4:], c.macs.compute(c.macs.current, packet, off+optionHeaderLen+4))
+}
+
+// Open verifies a packet between the system's processes and decodes its routing header into h. It returns the protocol
+// type and the payload, which points into data. Only packets with ProtoIPv4 and ProtoIPv6 have a routing header. Errors
+// are TunnelMalformed and TunnelForged.
+func (c *Codec) Open(data []byte, h *Header) (uint16, []byte, result.Code) {
+	f, code := decodeFrame(data)
+	if code != result.OK {
+		return 0, nil, code
+	}
+	if code := c.verify(data, f); code != result.OK {
+		return 0, nil, code
+	}
+	*h = Header{}
+	options := f.options[:len(f.options)-macOption]
+	if f.proto == ProtoPeer {
+		if len(options) != 0 {
+			return 0, nil, result.TunnelMalformed
+		}
+		return f.proto, f.payload, result.OK
+	}
+	if f.proto != ProtoIPv4 && f.proto != ProtoIPv6 {
+		return 0, nil, result.TunnelMalformed
+	}
+	if !decodeRouting(options, h) {
+		return 0, nil, result.TunnelMalformed
+	}
+	return f.proto, f.payload, result.OK
+}
+
+// verify checks the MAC option, which is the last one.
+func (c *Codec) verify(data []byte, f frame) result.Code {
+	if len(f.options) < macOption {
+		return result.TunnelMalformed
+	}
+	off := len(f.options) - macOption
+	o, _, ok := nextOption(f.options[off:])
+	if !ok || o.class != optionClass || o.kind != optionMAC || len(o.data) != 4+MACLen {
+		return result.TunnelMalformed
+	}
+	c.macs.use(c.ring.Load())
+	key := c.macs.forID(o.data[0])
+	if key == nil {
+		return result.TunnelForged
+	}
+	want := c.macs.compute(key, data, BaseLen+off+optionHeaderLen+4)
+	if !hmac.Equal(want, o.data[4:]) {
+		return result.TunnelForged
+	}
+	return result.OK
+}
+
+// decodeRouting reads the options of a verified packet. Each option may occur once; an unknown critical one is an error.
+func decodeRouting(options []byte, h *Header) bool {
+	seen := [4]bool{}
+	for rest := options; len(rest) > 0; {
+		o, next, ok := nextOption(rest)
+		if !ok {
+			return false
+		}
+		rest = next
+		if o.class != optionClass || o.kind < optionRoute || o.kind > optionAssigner {
+			if o.kind&criticalBit != 0 {
+				return false
+			}
+			continue
+		}
+		index := o.kind - optionRoute
+		if seen[index] || !decodeOption(o, h) {
+			return false
+		}
+		seen[index] = true
+	}
+	return seen[0] && seen[optionAssigner-optionRoute] == h.Assigned
+}
+
+// decodeOption reads one known option.
+func decodeOption(o option, h *Header) bool {
+	switch o.kind {
+	case optionRoute:
+		return decodeRoute(o.data, h)
+	case optionCandidate:
+		return decodeCandidates(o.data, h)
+	}
+	if len(o.data) != tagLen {
+		return false
+	}
+	h.Assigner = HostTag(binary.BigEndian.Uint64(o.data))
+	return true
+}
+
+// putRoute writes the data of the route option.
+func putRoute(b []byte, h *Header) {
+	binary.BigEndian.PutUint32(b[0:4], uint32(h.Service))
+	binary.BigEndian.PutUint64(b[4:12], uint64(h.Generation))
+	b[12] = h.Hops
+	b[13] = 0
+	if h.Assigned {
+		b[13] = flagAssigned
+	}
+	b[14], b[15] = 0, 0
+}
+
+// decodeRoute reads the data of the route option.
+func decodeRoute(b []byte, h *Header) bool {
+	if len(b) != routeOptionLen-optionHeaderLen || b[13]&^flagAssigned != 0 {
+		return false
+	}
+	h.Service = model.ServiceID(binary.BigEndian.Uint32(b[0:4]))
+	h.Generation = model.Revision(binary.BigEndian.Uint64(b[4:12]))
+	h.Hops = b[12]
+	h.Assigned = b[13]&flagAssigned != 0
+	return true
+}
+
+// decodeCandidates reads the data of the candidates option.
+func decodeCandidates(b []byte, h *Header) bool {
+	count := len(b) / tagLen
+	if len(b)%tagLen != 0 || count == 0 || count > routing.MaxCandidates {
+		return false
+	}
+	for i := range count {
+		h.Candidates[i] = HostTag(binary.BigEndian.Uint64(b[tagLen*i:]))
+	}
+	h.Count = uint8(count)
+	return true
+}
