--- a/internal/flow/types.go
+++ b/internal/flow/types.go
@@ -29,6 +29,9 @@
 	Hops       uint8          // times that agents forwarded it
 	Assigned   bool           // the home chose this agent as the owner of a new flow
 	Assigner   model.HostID   // the home, set when Assigned
+	// Assignment identifies the runs of the assigner and of the assignee (see Assignment), so that a copy delayed
+	// beyond a restart of either is refused. It is set when Assigned and must be carried unchanged by the tunnel.
+	Assignment uint64
 	Candidates []model.HostID // in the order of the routing header
 	Raw        []byte         // caller's IP packet
 }
