--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -51,7 +51,9 @@
 	RequestMalformed         Code = 3011
 	RequestNoUpstream        Code = 3012
 	RequestTooLarge          Code = 3013
+	RequestBindingsFull      Code = 3014
 	RequestKeyMismatch       Code = 3101
+	RequestKeyUnchecked      Code = 3102
 	RequestOutcomeUnknown    Code = 3201
 	RequestAnswerNotRetained Code = 3202
 	RequestAnswerTruncated   Code = 3203
