Add the request machine and the gate

Cause: section 5 of the design: requests need admission, binding before dispatch, joins, hand-over and whole answers. Change: internal/request (pure machine) and internal/gate (HTTP adapter, twirp Gate service).

--- a/internal/account/counter.go
+++ b/internal/account/counter.go
@@ -52,9 +52,9 @@
 
 // Classes of an end.
 const (
-	Answered Class = iota + 1 // a flow closed normally, or a request with its complete answer
-	Refused                   // a flow that was not accepted, or a request that was not run
-	Uncertain                 // a broken flow, or a request whose outcome or answer is not known to the caller
+	Answered  Class = iota + 1 // a flow closed normally, or a request with its complete answer
+	Refused                    // a flow that was not accepted, or a request that was not run
+	Uncertain                  // a broken flow, or a request whose outcome or answer is not known to the caller
 )
 
 // ClassOf returns the class of an end's code.
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,416 @@
+// Package gate connects callers' HTTP connections, the upstream on the same VM, the key bindings and the other agents
+// of a service to the request machine. One goroutine owns the machine; handlers and calls run in their own goroutines
+// and report to it by events.
+package gate
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/plantainseam/plantainseam/internal/account"
+	"github.com/plantainseam/plantainseam/internal/binding"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/request"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/gatepb"
+)
+
+// Limits of the gate.
+const (
+	// DefaultMaxBody bounds request bodies in bytes; a body is held in memory until the request ends.
+	DefaultMaxBody = 1 << 20
+	// retainAnswer is the largest answer of a keyed request that is kept for retries.
+	retainAnswer = 1 << 20
+	// bufferAnswer is the largest answer that is received whole before its first byte is passed on.
+	bufferAnswer = 64 << 10
+	// maxHandedAnswer bounds the answer of a request that another agent handed over.
+	maxHandedAnswer = 64 << 20
+	// readHeaderTimeout bounds the time from the first byte of a request to the end of its headers.
+	readHeaderTimeout = 10 * time.Second
+	// eventQueue is the number of events that wait for the machine before senders block.
+	eventQueue = 1024
+	// releasePatience bounds the attempts to release a key; see request.Machine for a release that is not applied.
+	releasePatience = 10 * time.Second
+	// finishPatience bounds one attempt to record the end of a run; the gate repeats it until it succeeds.
+	finishPatience = 5 * time.Second
+	// checkInterval spaces the checks of the account equation.
+	checkInterval = time.Second
+)
+
+// Config connects a gate to its surroundings.
+type Config struct {
+	Self    model.HostRef
+	Machine request.Config
+	Binder  binding.Binder
+	// Upstream sends requests to the upstream process on this VM.
+	Upstream Upstream
+	// Peers returns a client for another agent, or false if its address is not known.
+	Peers func(model.HostID) (gatepb.Gate, bool)
+	// Account counts callers' requests; nil for none.
+	Account *account.Counter
+	// Intent returns the intent in progress for a service, 0 for none; may be nil.
+	Intent func(model.ServiceID) uint64
+	// OnMismatch is called when the account equation does not hold; may be nil.
+	OnMismatch func(account.Mismatch)
+	// OnDrainOverdue is called with the remaining callers when a drain passes its deadline; may be nil.
+	OnDrainOverdue func(callers []string)
+	MaxBody        int64 // bytes; DefaultMaxBody if 0
+	MaxConnections int   // 0 for no limit
+}
+
+// Gate serves the request services of one agent.
+type Gate struct {
+	cfg    Config
+	server *http.Server
+	conns  *connListener
+	events chan input
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{} // closed when the loop has ended
+	calls  sync.WaitGroup
+	lastID atomic.Uint64
+	open   atomic.Int64
+	stats  atomic.Pointer[Stats]
+
+	snapshot atomic.Pointer[model.Snapshot]
+	local    atomic.Pointer[request.Local]
+
+	// Fields below belong to the loop goroutine.
+	machine *request.Machine
+	waits   map[request.ID]*call
+	data    map[request.ID]*call
+	cancels map[request.ID]context.CancelFunc
+	timer   *time.Timer
+}
+
+// input is an event for the machine, or a function that runs in the loop goroutine.
+type input struct {
+	event request.Event
+	call  *call // of a Received or JoinAsked
+	run   func()
+}
+
+// Stats are current sizes.
+type Stats struct {
+	Connections int
+	Waiting     int // callers and joining agents that wait for an answer
+}
+
+// New starts a gate.
+func New(cfg Config) *Gate {
+	if cfg.MaxBody == 0 {
+		cfg.MaxBody = DefaultMaxBody
+	}
+	cfg.Machine.Self = cfg.Self
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Gate{
+		cfg:     cfg,
+		conns:   newConnListener(),
+		events:  make(chan input, eventQueue),
+		ctx:     ctx,
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		machine: request.New(cfg.Machine),
+		waits:   map[request.ID]*call{},
+		data:    map[request.ID]*call{},
+		cancels: map[request.ID]context.CancelFunc{},
+		timer:   time.NewTimer(time.Hour),
+	}
+	g.snapshot.Store(model.NewSnapshot())
+	g.local.Store(&request.Local{})
+	g.stats.Store(&Stats{})
+	g.server = &http.Server{
+		Handler:           http.HandlerFunc(g.serveCaller),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ConnContext:       withConn,
+	}
+	go g.loop()
+	go g.pollPeers()
+	go func() { _ = g.server.Serve(g.conns) }()
+	return g
+}
+
+// Serve takes over a caller's connection of a request service. It returns at once; the gate closes conn.
+func (g *Gate) Serve(svc *model.Service, key model.FlowKey, conn net.Conn) {
+	if n := g.open.Add(1); g.cfg.MaxConnections > 0 && n > int64(g.cfg.MaxConnections) {
+		g.open.Add(-1)
+		_ = conn.Close()
+		return
+	}
+	c := &callerConn{Conn: conn, service: svc, key: key, open: &g.open}
+	if !g.conns.add(c) {
+		_ = c.Close()
+	}
+}
+
+// Apply installs a configuration: queue limits and the members of each service.
+func (g *Gate) Apply(s *model.Snapshot) {
+	g.snapshot.Store(s)
+	g.post(input{run: func() {
+		for id, svc := range s.Services {
+			g.machine.SetQueueLimit(id, svc.QueueLimit)
+		}
+	}})
+}
+
+// SetLocal sets the state of the host: draining, cold.
+func (g *Gate) SetLocal(l request.Local) {
+	g.local.Store(&l)
+	if l.Draining {
+		// The machine hands the queue over when it learns of the drain, so it needs the peers before.
+		g.refreshPeers(g.ctx)
+	}
+	g.post(input{event: l})
+}
+
+// Remaining lists the callers whose requests have not ended.
+func (g *Gate) Remaining() []string {
+	out := make(chan []string, 1)
+	ok := g.post(input{run: func() {
+		var list []string
+		for _, c := range g.machine.Remaining() {
+			list = append(list, c.String())
+		}
+		out <- list
+	}})
+	if !ok {
+		return nil
+	}
+	select {
+	case list := <-out:
+		return list
+	case <-g.done:
+		return nil
+	}
+}
+
+// Stats returns current sizes.
+func (g *Gate) Stats() Stats {
+	s := *g.stats.Load()
+	s.Connections = int(g.open.Load())
+	return s
+}
+
+// Shutdown stops taking connections, waits until the requests in flight have ended or ctx is done, and ends the gate.
+func (g *Gate) Shutdown(ctx context.Context) error {
+	err := g.server.Shutdown(ctx)
+	g.Close()
+	return err
+}
+
+// Close ends the gate at once. Callers that still wait lose their connection.
+func (g *Gate) Close() {
+	g.cancel()
+	_ = g.server.Close()
+	<-g.done
+	g.calls.Wait()
+}
+
+// post hands an input to the loop. It returns false when the gate has ended.
+func (g *Gate) post(in input) bool {
+	select {
+	case g.events <- in:
+		return true
+	case <-g.ctx.Done():
+		return false
+	}
+}
+
+func (g *Gate) nextID() request.ID { return request.ID(g.lastID.Add(1)) }
+
+func (g *Gate) loop() {
+	defer close(g.done)
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	var actions []request.Action
+	for {
+		var in input
+		select {
+		case <-g.ctx.Done():
+			g.endCalls()
+			return
+		case <-check.C:
+			g.checkAccount()
+			continue
+		case <-g.timer.C:
+			in.event = request.Tick{}
+		case in = <-g.events:
+		}
+		if in.run != nil {
+			in.run()
+			continue
+		}
+		if in.call != nil {
+			g.waits[in.call.id] = in.call
+			if _, ok := in.event.(request.Received); ok {
+				g.data[in.call.id] = in.call
+			}
+		}
+		actions = g.machine.Handle(time.Now(), in.event, actions[:0])
+		for i := range actions {
+			g.execute(&actions[i])
+		}
+		g.stats.Store(&Stats{Waiting: len(g.waits)})
+	}
+}
+
+// endCalls cancels what is in progress when the gate ends.
+func (g *Gate) endCalls() {
+	for _, cancel := range g.cancels {
+		cancel()
+	}
+}
+
+func (g *Gate) checkAccount() {
+	if g.cfg.Account == nil || g.cfg.OnMismatch == nil {
+		return
+	}
+	for _, m := range g.cfg.Account.Check() {
+		g.cfg.OnMismatch(m)
+	}
+}
+
+// execute starts what an action asks for. It never blocks.
+func (g *Gate) execute(a *request.Action) {
+	switch a.Kind {
+	case request.ActionBind:
+		g.bind(*a)
+	case request.ActionRelease:
+		g.release(*a)
+	case request.ActionFinish:
+		g.finish(*a)
+	case request.ActionDispatch:
+		g.start(a.Run, a.Deadline, g.dispatch)
+	case request.ActionJoin:
+		owner, ref, digest := a.Owner, a.Ref, a.Digest
+		g.start(a.Run, a.At, func(ctx context.Context, c *call) { g.join(ctx, c, owner, ref, digest) })
+	case request.ActionHandOver:
+		to := a.To
+		g.start(a.Run, a.At, func(ctx context.Context, c *call) { g.handOver(ctx, c, to) })
+	case request.ActionCancel:
+		if cancel := g.cancels[a.Run]; cancel != nil {
+			cancel()
+		}
+	case request.ActionAnswer:
+		g.answer(a)
+	case request.ActionArm:
+		g.timer.Reset(time.Until(a.At))
+	case request.ActionDone:
+		delete(g.data, a.Run)
+		if cancel := g.cancels[a.Run]; cancel != nil {
+			cancel()
+			delete(g.cancels, a.Run)
+		}
+	case request.ActionDrainOverdue:
+		g.drainOverdue(a)
+	}
+}
+
+func (g *Gate) answer(a *request.Action) {
+	c := g.waits[a.ID]
+	if c == nil {
+		return
+	}
+	delete(g.waits, a.ID)
+	c.answer <- callAnswer{code: a.Code, answer: a.Answer, held: a.Held}
+}
+
+func (g *Gate) drainOverdue(a *request.Action) {
+	if g.cfg.OnDrainOverdue == nil {
+		return
+	}
+	list := make([]string, 0, len(a.Callers))
+	for _, c := range a.Callers {
+		list = append(list, c.String())
+	}
+	g.cfg.OnDrainOverdue(list)
+}
+
+// start runs f for a request in its own goroutine with a context that ends at the deadline or by ActionCancel. The
+// machine gives every run a deadline.
+func (g *Gate) start(run request.ID, deadline time.Time, f func(context.Context, *call)) {
+	c := g.data[run]
+	if c == nil {
+		// The machine keeps the data of a request until its work has ended.
+		panic("gate: action for a request without data")
+	}
+	if cancel := g.cancels[run]; cancel != nil {
+		cancel()
+	}
+	ctx, cancel := context.WithDeadline(g.ctx, deadline)
+	g.cancels[run] = cancel
+	g.calls.Add(1)
+	go func() {
+		defer g.calls.Done()
+		f(ctx, c)
+	}()
+}
+
+func (g *Gate) bind(a request.Action) {
+	g.calls.Add(1)
+	go func() {
+		defer g.calls.Done()
+		ctx, cancel := context.WithDeadline(g.ctx, a.At)
+		defer cancel()
+		answer, err := g.cfg.Binder.Bind(ctx, binding.Request{
+			Service:  a.Ref.Service,
+			Key:      a.Ref.Key,
+			Digest:   a.Digest,
+			Owner:    a.Ref.Owner,
+			Attempt:  a.Ref.Attempt,
+			Deadline: a.Deadline,
+		})
+		if err != nil {
+			answer = binding.Answer{Outcome: binding.Unreached}
+		}
+		g.post(input{event: request.BindResult{Run: a.Run, Attempt: a.Ref.Attempt, Answer: answer}})
+	}()
+}
+
+func (g *Gate) release(a request.Action) {
+	g.calls.Add(1)
+	go func() {
+		defer g.calls.Done()
+		ctx, cancel := context.WithTimeout(g.ctx, releasePatience)
+		defer cancel()
+		err := g.cfg.Binder.Release(ctx, a.Ref)
+		if a.Run != 0 {
+			g.post(input{event: request.ReleaseDone{Run: a.Run, Applied: err == nil}})
+		}
+	}()
+}
+
+func (g *Gate) finish(a request.Action) {
+	g.calls.Add(1)
+	go func() {
+		defer g.calls.Done()
+		for g.ctx.Err() == nil {
+			ctx, cancel := context.WithTimeout(g.ctx, finishPatience)
+			err := g.cfg.Binder.Finish(ctx, a.Ref, a.Code)
+			cancel()
+			if err == nil {
+				g.post(input{event: request.FinishDone{Run: a.Run}})
+				return
+			}
+		}
+	}()
+}
+
+// end counts the end of a caller's request.
+func (g *Gate) end(c *call, code result.Code) {
+	if g.cfg.Account == nil || !c.counted {
+		return
+	}
+	g.cfg.Account.End(c.service, account.UnitRequest, c.caller.Addr(), code, g.intent(c.service), time.Now())
+}
+
+func (g *Gate) intent(id model.ServiceID) uint64 {
+	if g.cfg.Intent == nil {
+		return 0
+	}
+	return g.cfg.Intent(id)
+}
--- /dev/null
+++ b/internal/gate/gate_test.go
@@ -0,0 +1,61 @@
+package gate_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/gate"
+)
+
+// Guards against a retry through the same or another agent that runs the request again or gets another answer.
+func TestRetryJoinsFirstRun(t *testing.T) {
+	g := NewWithT(t)
+	c := withCluster(t, 2, plain)
+	for _, host := range []string{"host-0", "host-0", "host-1", "host-1"} {
+		r := c.send(context.Background(), "host-0", "POST", "k1", "match-1")
+		g.Expect(r).To(Equal(reply{200, "0", "ran match-1", nil}), host)
+	}
+	r := c.send(context.Background(), "host-1", "POST", "k1", "match-1")
+	g.Expect(r.body).To(Equal("ran match-1"))
+	g.Expect(c.runs("match-1")).To(Equal(1))
+	r = c.send(context.Background(), "host-1", "POST", "k1", "other")
+	g.Expect(r.code).To(Equal("3101"))
+	g.Expect(c.runs("other")).To(BeZero())
+	r = c.send(context.Background(), "host-1", "POST", "", "unkeyed")
+	g.Expect(r.code).To(Equal("3010"))
+	r = c.send(context.Background(), "host-1", "POST", "k2", "late", gate.HeaderDeadline, time.Now().Add(-time.Second).Format(time.RFC3339Nano))
+	g.Expect(r.code).To(Equal("3003"))
+	for _, n := range c.nodes {
+		g.Expect(n.account.Check()).To(BeEmpty())
+	}
+}
+
+// Guards against a truncated answer that ends like a whole one, at sizes below and above what is buffered.
+func TestTruncatedAnswerIsNotWhole(t *testing.T) {
+	for _, size := range []int{100, 1 << 20, 3 << 20} {
+		for _, method := range []string{"POST", "GET"} {
+			g := NewWithT(t)
+			c := withCluster(t, 1, func(*http.Request, string) behaviour { return behaviour{cut: true, size: size} })
+			r := c.send(context.Background(), "host-0", method, "k", "scan")
+			g.Expect(r.err != nil || r.code == "3203").To(BeTrue(), "%d %s %v", size, method, r.status)
+		}
+	}
+}
+
+// Guards against a whole long answer that is altered on the way.
+func TestLongAnswerIsWhole(t *testing.T) {
+	g := NewWithT(t)
+	c := withCluster(t, 1, func(*http.Request, string) behaviour { return behaviour{size: 5 << 20} })
+	for _, method := range []string{"GET", "POST"} {
+		r := c.send(context.Background(), "host-0", method, "k", "scan")
+		g.Expect(r.err).NotTo(HaveOccurred())
+		g.Expect(r.body).To(HaveLen(5 << 20))
+	}
+	r := c.send(context.Background(), "host-0", "POST", "k", "scan")
+	g.Expect(r.code).To(Equal("3202"))
+	g.Expect(c.runs("scan")).To(Equal(2))
+}
--- /dev/null
+++ b/internal/gate/peers.go
@@ -0,0 +1,273 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/plantainseam/plantainseam/internal/binding"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/request"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/gatepb"
+)
+
+// Intervals of the exchange with other agents.
+const (
+	// peerInterval applies while the local upstream takes work; five peers then cost about 1 KB/s.
+	peerInterval = 5 * time.Second
+	// peerIntervalFast applies while requests are handed over.
+	peerIntervalFast = time.Second
+	peerTimeout      = 500 * time.Millisecond
+)
+
+// pollPeers keeps the machine informed about the other agents of its services.
+func (g *Gate) pollPeers() {
+	tick := time.NewTicker(peerIntervalFast)
+	defer tick.Stop()
+	var last time.Time
+	for {
+		select {
+		case <-g.ctx.Done():
+			return
+		case now := <-tick.C:
+			if now.Sub(last) >= peerInterval || g.handsOver() {
+				last = now
+				g.refreshPeers(g.ctx)
+			}
+		}
+	}
+}
+
+// services returns the request services that this host carries.
+func (g *Gate) services() []*model.Service {
+	var out []*model.Service
+	for _, svc := range g.snapshot.Load().Services {
+		if _, ok := svc.Member(g.cfg.Self.Host); ok && svc.Kind == model.KindRequest {
+			out = append(out, svc)
+		}
+	}
+	return out
+}
+
+// handsOver tells whether the host drains or an upstream of it is ejected.
+func (g *Gate) handsOver() bool {
+	out := make(chan bool, 1)
+	g.post(input{run: func() {
+		for _, svc := range g.services() {
+			if !g.machine.TakesWork(svc.ID) {
+				out <- true
+				return
+			}
+		}
+		out <- false
+	}})
+	select {
+	case b := <-out:
+		return b
+	case <-g.done:
+		return false
+	}
+}
+
+// refreshPeers asks the other agents of each service for their state. One that does not answer takes no work.
+func (g *Gate) refreshPeers(ctx context.Context) {
+	for _, svc := range g.services() {
+		results := make(chan request.Peer, len(svc.Members))
+		n := 0
+		for _, member := range svc.Members {
+			if member.Host == g.cfg.Self.Host || member.State == model.UpstreamLost {
+				continue
+			}
+			n++
+			go func() { results <- g.peerState(ctx, svc.ID, member) }()
+		}
+		peers := make([]request.Peer, 0, n)
+		for range n {
+			peers = append(peers, <-results)
+		}
+		g.post(input{event: request.Peers{Service: svc.ID, Peers: peers}})
+	}
+}
+
+func (g *Gate) peerState(ctx context.Context, id model.ServiceID, member model.Member) request.Peer {
+	p := request.Peer{Host: member.Host}
+	client, ok := g.cfg.Peers(member.Host)
+	if !ok {
+		return p
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	resp, err := client.Status(ctx, &gatepb.StatusRequest{Service: uint32(id)})
+	if err != nil {
+		return p
+	}
+	p.TakesWork = resp.TakesWork && member.State == model.UpstreamActive
+	p.Ejected = resp.Ejected
+	p.Since = time.UnixMilli(resp.EjectedUnixMs)
+	p.Queued = int(resp.Queued)
+	return p
+}
+
+// join asks the owner of a key for its answer.
+func (g *Gate) join(ctx context.Context, c *call, owner model.HostRef, ref binding.Ref, digest binding.Digest) {
+	ended := request.JoinEnded{Run: c.id}
+	defer func() { g.post(input{event: ended}) }()
+	client, ok := g.cfg.Peers(owner.Host)
+	if !ok {
+		return
+	}
+	resp, err := client.Join(ctx, &gatepb.JoinRequest{
+		Service:     uint32(ref.Service),
+		Key:         ref.Key,
+		Digest:      digest[:],
+		Host:        string(owner.Host),
+		Incarnation: uint64(owner.Incarnation),
+	})
+	if err != nil {
+		return
+	}
+	ended.Reached = true
+	ended.Held = resp.Held
+	ended.Code = result.Code(resp.Code)
+	ended.Answer = fromWire(resp.Answer)
+}
+
+// handOver runs a request on another agent.
+func (g *Gate) handOver(ctx context.Context, c *call, to model.HostID) {
+	ended := request.HandOverEnded{Run: c.id}
+	defer func() { g.post(input{event: ended}) }()
+	client, ok := g.cfg.Peers(to)
+	if !ok {
+		return
+	}
+	ended.Sent = true
+	resp, err := client.Execute(ctx, &gatepb.ExecuteRequest{
+		Service: uint32(c.service),
+		Method:  c.method,
+		Uri:     []byte(c.uri),
+		Host:    c.host,
+		Headers: toWire(fromHTTP(c.header)),
+		Body:    c.body,
+		Caller:  c.caller.String(),
+		From:    string(g.cfg.Self.Host),
+	})
+	if err != nil {
+		return
+	}
+	ended.Reached = true
+	ended.Code = result.Code(resp.Code)
+	ended.Answer = fromWire(resp.Answer)
+}
+
+func toWire(h []request.Header) []*gatepb.Header {
+	out := make([]*gatepb.Header, 0, len(h))
+	for _, line := range h {
+		out = append(out, &gatepb.Header{Name: line.Name, Value: []byte(line.Value)})
+	}
+	return out
+}
+
+func answerToWire(a *request.Answer) *gatepb.Answer {
+	if a == nil {
+		return nil
+	}
+	return &gatepb.Answer{Status: uint32(a.Status), Headers: toWire(a.Header), Body: a.Body}
+}
+
+func fromWire(a *gatepb.Answer) *request.Answer {
+	if a == nil {
+		return nil
+	}
+	out := &request.Answer{Status: int(a.Status), Body: a.Body}
+	for _, line := range a.Headers {
+		out.Header = append(out.Header, request.Header{Name: line.Name, Value: string(line.Value)})
+	}
+	return out
+}
+
+// Server serves gatepb.Gate for other agents.
+type Server struct{ gate *Gate }
+
+// RPC returns the twirp service of the gate.
+func (g *Gate) RPC() *Server { return &Server{gate: g} }
+
+// Join waits for the answer to a key of this incarnation.
+func (s *Server) Join(ctx context.Context, r *gatepb.JoinRequest) (*gatepb.JoinResponse, error) {
+	g := s.gate
+	if model.Incarnation(r.Incarnation) < g.cfg.Self.Incarnation {
+		// The process that ran it is gone without a recorded answer.
+		return &gatepb.JoinResponse{Held: true, Code: uint32(result.RequestOutcomeUnknown)}, nil
+	}
+	c := newCall(g.nextID(), model.ServiceID(r.Service))
+	defer close(c.gone)
+	a, err := g.wait(ctx, c, request.JoinAsked{ID: c.id, Service: c.service, Key: r.Key})
+	if err != nil {
+		return nil, err
+	}
+	return &gatepb.JoinResponse{Held: a.held, Code: uint32(a.code), Answer: answerToWire(a.answer)}, nil
+}
+
+// Execute runs a request for another agent.
+func (s *Server) Execute(ctx context.Context, r *gatepb.ExecuteRequest) (*gatepb.ExecuteResponse, error) {
+	g := s.gate
+	c := newCall(g.nextID(), model.ServiceID(r.Service))
+	defer close(c.gone)
+	c.caller, _ = netip.ParseAddrPort(r.Caller)
+	c.method, c.uri, c.host, c.body = r.Method, string(r.Uri), r.Host, r.Body
+	c.handedOver = true
+	c.header = http.Header{}
+	for _, line := range r.Headers {
+		c.header.Add(line.Name, string(line.Value))
+	}
+	if code := c.readHeaders(); code != result.OK {
+		return &gatepb.ExecuteResponse{Code: uint32(code)}, nil
+	}
+	a, err := g.wait(ctx, c, c.received())
+	if err != nil {
+		return nil, err
+	}
+	return &gatepb.ExecuteResponse{Code: uint32(a.code), Answer: answerToWire(a.answer)}, nil
+}
+
+// Status tells whether this agent takes work of a service.
+func (s *Server) Status(ctx context.Context, r *gatepb.StatusRequest) (*gatepb.StatusResponse, error) {
+	g := s.gate
+	id := model.ServiceID(r.Service)
+	out := make(chan *gatepb.StatusResponse, 1)
+	g.post(input{run: func() {
+		resp := &gatepb.StatusResponse{TakesWork: g.machine.TakesWork(id), Queued: uint32(g.machine.Queued(id))}
+		if since, ejected := g.machine.Ejected(id); ejected {
+			resp.Ejected = true
+			resp.EjectedUnixMs = since.UnixMilli()
+		}
+		out <- resp
+	}})
+	select {
+	case resp := <-out:
+		return resp, nil
+	case <-ctx.Done():
+		return nil, twirp.NewError(twirp.Canceled, "the caller left")
+	case <-g.done:
+		return nil, twirp.NewError(twirp.Unavailable, "the gate has ended")
+	}
+}
+
+// wait posts an event and waits for its answer. A twirp error means that the outcome is not known.
+func (g *Gate) wait(ctx context.Context, c *call, e request.Event) (callAnswer, error) {
+	if !g.post(input{event: e, call: c}) {
+		return callAnswer{}, twirp.NewError(twirp.Unavailable, "the gate has ended")
+	}
+	select {
+	case a := <-c.answer:
+		return a, nil
+	case <-ctx.Done():
+		g.post(input{event: request.Cancelled{ID: c.id}})
+		return callAnswer{}, twirp.NewError(twirp.Canceled, "the caller left")
+	case <-g.done:
+		return callAnswer{}, twirp.NewError(twirp.Unavailable, "the gate has ended")
+	}
+}
