--- a/internal/flow/messages.go
+++ b/internal/flow/messages.go
@@ -65,8 +65,9 @@
 
 // Release tells a home that flows of the sender ended. It is not acknowledged: audits find the redirects of lost ones.
 type Release struct {
-	Service model.ServiceID
-	Callers []netip.AddrPort
+	Service    model.ServiceID
+	Generation model.Revision // generation in force at the sender
+	Callers    []netip.AddrPort
 }
 
 // Load tells the other agents of a service how much work the sender has.
--- a/internal/flow/wire/wire.go
+++ b/internal/flow/wire/wire.go
@@ -39,7 +39,7 @@
 		e.Message = &peerpb.Envelope_Decline{Decline: encodeDecline(m)}
 	case flow.Release:
 		e.Message = &peerpb.Envelope_Release{Release: &peerpb.Release{
-			Service: uint32(m.Service), Callers: packCallers(m.Callers),
+			Service: uint32(m.Service), Generation: uint64(m.Generation), Callers: packCallers(m.Callers),
 		}}
 	case flow.Load:
 		e.Message = &peerpb.Envelope_Load{Load: encodeLoad(m)}
@@ -81,7 +81,10 @@
 		return decodeDecline(m.Decline)
 	case *peerpb.Envelope_Release:
 		callers, err := unpackCallers(m.Release.GetCallers())
-		return flow.Release{Service: model.ServiceID(m.Release.GetService()), Callers: callers}, err
+		return flow.Release{
+			Service: model.ServiceID(m.Release.GetService()), Generation: model.Revision(m.Release.GetGeneration()),
+			Callers: callers,
+		}, err
 	case *peerpb.Envelope_Load:
 		return decodeLoad(m.Load)
 	}
