Add the control domain: catalog, planner, membership, dissemination and its adapter

Change: the catalog is the state machine of the `catalog` log and owns services, rights, hosts, intents and history. The planner computes plans and the next step of a running one. Membership holds leases and detects losses. Dissemination makes deltas with a digest, keeps the newest revision on disk and has a client and a server over twirp.

`go test -race -count=3 ./internal/control` passes: two upstreams announce themselves, a service is created, a host is retired, and a client over twirp receives it.

--- /dev/null
+++ b/internal/catalog/history.go
@@ -0,0 +1,82 @@
+package catalog
+
+import (
+	"github.com/plantainseam/plantainseam/rpc/catalogpb"
+	"github.com/plantainseam/plantainseam/rpc/intentpb"
+)
+
+// record adds a change to the history, once for each affected service. in is nil for a change without an operator.
+func (c *Catalog) record(in *intentpb.Intent, host, text string, services ...uint32) {
+	if len(services) == 0 {
+		services = []uint32{0}
+	}
+	for _, id := range services {
+		ch := &catalogpb.Change{
+			Index:    c.index,
+			AtUnixMs: c.at,
+			Revision: c.revision,
+			Service:  id,
+			Host:     host,
+			Text:     text,
+		}
+		if in != nil {
+			ch.Intent = in.Id
+			ch.Operator = in.Operator
+			ch.Plan = in.GetPlan().GetNumber()
+			ch.ConfirmedBy = in.ConfirmedBy
+			ch.ConfirmedUnixMs = in.ConfirmedUnixMs
+		}
+		c.changes = append(c.changes, ch)
+	}
+	c.trimChanges()
+}
+
+// trimChanges drops the oldest changes above MaxChanges. The services they concerned count them, so that a report can
+// state that its list of changes is incomplete.
+func (c *Catalog) trimChanges() {
+	excess := len(c.changes) - MaxChanges
+	for i := 0; i < excess; i++ {
+		if svc := c.services[c.changes[i].Service]; svc != nil {
+			svc.ChangesDropped++
+		}
+		c.changes[i] = nil
+		c.changesDropped++
+	}
+	if excess > 0 {
+		c.changes = c.changes[excess:]
+	}
+}
+
+// trimIntents drops the oldest finished intents above MaxIntents. Their operator keys may then be used again.
+func (c *Catalog) trimIntents() {
+	if len(c.intents) <= MaxIntents {
+		return
+	}
+	for _, id := range sortedKeys(c.intents) {
+		in := c.intents[id]
+		if !finished(in.State) {
+			continue
+		}
+		delete(c.intents, id)
+		delete(c.byKey, operatorKey{in.Operator, in.Key})
+		c.intentsDropped++
+		if len(c.intents) <= MaxIntents {
+			return
+		}
+	}
+}
+
+// trimClosed drops the oldest closed services above MaxClosedServices. Their ids are still never reused.
+func (c *Catalog) trimClosed() {
+	var closed []uint32
+	for _, id := range sortedKeys(c.services) {
+		if c.services[id].Closed {
+			closed = append(closed, id)
+		}
+	}
+	for len(closed) > MaxClosedServices {
+		delete(c.services, closed[0])
+		delete(c.rows, closed[0])
+		closed = closed[1:]
+	}
+}
--- /dev/null
+++ b/internal/catalog/snapshot.go
@@ -0,0 +1,203 @@
+package catalog
+
+import (
+	"net/netip"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/catalogpb"
+	"github.com/plantainseam/plantainseam/rpc/intentpb"
+)
+
+// Snapshot returns the whole state. Equal states give equal bytes within one build of the program.
+func (c *Catalog) Snapshot() ([]byte, error) {
+	s := &catalogpb.State{
+		Index:          c.index,
+		Revision:       c.revision,
+		AtUnixMs:       c.at,
+		LastService:    c.lastService,
+		LastIntent:     c.lastIntent,
+		Control:        c.control,
+		ControlVersion: c.controlVersion,
+		Changes:        c.changes,
+		ChangesDropped: c.changesDropped,
+		IntentsDropped: c.intentsDropped,
+		Keys:           c.keys,
+	}
+	for _, id := range sortedKeys(c.services) {
+		sortAccount(c.services[id])
+		s.Services = append(s.Services, c.services[id])
+	}
+	for _, host := range sortedKeys(c.hosts) {
+		s.Hosts = append(s.Hosts, c.hosts[host])
+	}
+	for _, id := range sortedKeys(c.intents) {
+		s.Intents = append(s.Intents, c.intents[id])
+	}
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+	if err != nil {
+		return nil, result.Errorf(result.Internal, "encode catalog: %w", err)
+	}
+	return raw, nil
+}
+
+// Restore replaces the state by a snapshot. On error the state is unchanged.
+func (c *Catalog) Restore(snapshot []byte) error {
+	var s catalogpb.State
+	if err := proto.Unmarshal(snapshot, &s); err != nil {
+		return result.Errorf(result.StoreCorrupt, "decode catalog: %w", err)
+	}
+	c.load(&s)
+	return nil
+}
+
+// load takes over a decoded state and rebuilds the indexes.
+func (c *Catalog) load(s *catalogpb.State) {
+	*c = Catalog{
+		index: s.Index, revision: s.Revision, at: s.AtUnixMs,
+		lastService: s.LastService, lastIntent: s.LastIntent,
+		control: s.Control, controlVersion: s.ControlVersion, keys: s.Keys,
+		changes: s.Changes, changesDropped: s.ChangesDropped, intentsDropped: s.IntentsDropped,
+		services: map[uint32]*catalogpb.Service{}, hosts: map[string]*catalogpb.Host{}, intents: map[uint64]*intentpb.Intent{},
+		byName: map[string]uint32{}, byFrontend: map[string]uint32{}, byTunnel: map[string]string{}, byRPC: map[string]string{},
+		rightsOf: map[string][]uint32{}, byKey: map[operatorKey]uint64{}, claims: map[string]uint64{}, rows: map[uint32]*accountRows{},
+		dirtyServices: map[uint32]bool{}, dirtyHosts: map[string]bool{},
+	}
+	if c.keys == nil {
+		c.keys = &catalogpb.KeyRing{}
+	}
+	for _, svc := range s.Services {
+		c.services[svc.Id] = svc
+		c.indexService(svc)
+	}
+	for _, h := range s.Hosts {
+		c.hosts[h.Host] = h
+		if !h.Lost && !h.Retired {
+			c.indexHost(h)
+		}
+	}
+	for _, h := range s.Hosts { // a lost host keeps its address only if no live host has taken it
+		if _, taken := c.byTunnel[h.Tunnel]; !taken {
+			c.indexHost(h)
+		}
+	}
+	for _, in := range s.Intents {
+		c.intents[in.Id] = in
+		c.byKey[operatorKey{in.Operator, in.Key}] = in.Id
+		if in.State == intentpb.State_STATE_RUNNING || in.State == intentpb.State_STATE_PAUSED {
+			for _, object := range in.GetPlan().GetClaims() {
+				c.claims[object] = in.Id
+			}
+		}
+	}
+}
+
+// Config returns the configuration at the present revision. Unchanged objects are shared with the one returned before.
+func (c *Catalog) Config() *model.Snapshot {
+	if c.published == nil {
+		c.markAll()
+		c.published = model.NewSnapshot()
+	} else if c.published.Revision == model.Revision(c.revision) {
+		return c.published
+	}
+	next := c.published.Clone()
+	next.Revision = model.Revision(c.revision)
+	next.Keys = model.KeyRing{Active: c.keys.Active, Accepted: slices.Clone(c.keys.Accepted)}
+	for id := range c.dirtyServices {
+		putOrDelete(next.Services, model.ServiceID(id), configService(c.services[id]))
+	}
+	for host := range c.dirtyHosts {
+		h := c.hosts[host]
+		putOrDelete(next.Upstreams, model.HostID(host), configUpstream(h))
+		putOrDelete(next.Entries, model.HostID(host), configEntry(h))
+	}
+	clear(c.dirtyServices)
+	clear(c.dirtyHosts)
+	c.published = next
+	return next
+}
+
+func (c *Catalog) markAll() {
+	for id := range c.services {
+		c.dirtyServices[id] = true
+	}
+	for host := range c.hosts {
+		c.dirtyHosts[host] = true
+	}
+}
+
+func putOrDelete[K comparable, V any](m map[K]*V, key K, value *V) {
+	if value == nil {
+		delete(m, key)
+		return
+	}
+	m[key] = value
+}
+
+func configService(svc *catalogpb.Service) *model.Service {
+	if svc == nil || svc.Closed {
+		return nil
+	}
+	frontend, _ := netip.ParseAddrPort(svc.Frontend) // checked on creation
+	out := &model.Service{
+		ID:         model.ServiceID(svc.Id),
+		Name:       svc.Name,
+		Frontend:   frontend,
+		Kind:       model.Kind(svc.Kind),
+		Seed:       svc.Seed,
+		Generation: model.Revision(svc.Generation),
+		Closing:    svc.Closing,
+		QueueLimit: int(svc.QueueLimit),
+	}
+	for _, m := range svc.Members {
+		out.Members = append(out.Members, model.Member{Host: model.HostID(m.Host), State: model.UpstreamState(m.State)})
+	}
+	return out
+}
+
+func configUpstream(h *catalogpb.Host) *model.Upstream {
+	if h == nil || h.Entry || h.Retired {
+		return nil
+	}
+	return &model.Upstream{
+		Ref:            refOf(h),
+		FailureDomain:  model.FailureDomain(h.FailureDomain),
+		Tunnel:         addrOf(h.Tunnel),
+		RPC:            addrOf(h.Rpc),
+		Slots:          limited(h.Slots, h.SlotLimit),
+		MaxConnections: limited(h.MaxConnections, h.ConnectionLimit),
+	}
+}
+
+// configEntry omits lost entries: nothing is sent to them, and they hold no state.
+func configEntry(h *catalogpb.Host) *model.Entry {
+	if h == nil || !h.Entry || h.Retired || h.Lost {
+		return nil
+	}
+	return &model.Entry{
+		Ref:           refOf(h),
+		FailureDomain: model.FailureDomain(h.FailureDomain),
+		Tunnel:        addrOf(h.Tunnel),
+		RPC:           addrOf(h.Rpc),
+	}
+}
+
+func refOf(h *catalogpb.Host) model.HostRef {
+	return model.HostRef{Host: model.HostID(h.Host), Incarnation: model.Incarnation(h.Incarnation)}
+}
+
+func addrOf(s string) netip.AddrPort {
+	a, _ := netip.ParseAddrPort(s) // announcements are checked by membership
+	return a
+}
+
+// limited returns the announced value, or the operator's limit when that is lower.
+func limited(announced, limit uint32) int {
+	if limit != 0 && limit < announced {
+		return int(limit)
+	}
+	return int(announced)
+}
--- /dev/null
+++ b/internal/catalog/totals.go
@@ -0,0 +1,105 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/plantainseam/plantainseam/rpc/catalogpb"
+	"github.com/plantainseam/plantainseam/rpc/memberpb"
+)
+
+type totalKey struct {
+	host        string
+	incarnation uint64
+	unit        string
+	code        uint32
+	intent      uint64
+}
+
+type callerKey struct {
+	totalKey
+	caller string
+}
+
+// accountRows indexes the account of one service.
+type accountRows struct {
+	totals  map[totalKey]*catalogpb.Total
+	callers map[callerKey]*catalogpb.CallerTotal
+}
+
+func newAccountRows(svc *catalogpb.Service) *accountRows {
+	r := &accountRows{totals: map[totalKey]*catalogpb.Total{}, callers: map[callerKey]*catalogpb.CallerTotal{}}
+	for _, t := range svc.Totals {
+		r.totals[totalKey{t.Host, t.Incarnation, t.Unit, t.Code, t.Intent}] = t
+	}
+	for _, t := range svc.Callers {
+		r.callers[callerKey{totalKey{t.Host, t.Incarnation, t.Unit, t.Code, t.Intent}, t.Caller}] = t
+	}
+	return r
+}
+
+// addTotals stores cumulative counts. The larger of the stored and the given count is kept, so that a resent or
+// overtaken command changes nothing. Closed services still take counts, since the last ones arrive after the close.
+func (c *Catalog) addTotals(cmd *catalogpb.Totals) error {
+	for _, h := range cmd.Hosts {
+		for _, t := range h.Totals {
+			if svc := c.services[t.Service]; svc != nil {
+				c.rowsOf(svc).addTotal(svc, h, t)
+			}
+		}
+		for _, t := range h.Callers {
+			if svc := c.services[t.Service]; svc != nil {
+				c.rowsOf(svc).addCaller(svc, h, t)
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Catalog) rowsOf(svc *catalogpb.Service) *accountRows {
+	if c.rows[svc.Id] == nil {
+		c.rows[svc.Id] = newAccountRows(svc)
+	}
+	return c.rows[svc.Id]
+}
+
+func (r *accountRows) addTotal(svc *catalogpb.Service, h *catalogpb.HostTotals, t *memberpb.AccountTotal) {
+	key := totalKey{h.Host, h.Incarnation, t.Unit, t.Code, t.Intent}
+	row := r.totals[key]
+	if row == nil {
+		row = &catalogpb.Total{Host: h.Host, Incarnation: h.Incarnation, Unit: t.Unit, Code: t.Code, Intent: t.Intent}
+		r.totals[key] = row
+		svc.Totals = append(svc.Totals, row)
+	}
+	row.Count = max(row.Count, t.Count)
+}
+
+func (r *accountRows) addCaller(svc *catalogpb.Service, h *catalogpb.HostTotals, t *memberpb.CallerTotal) {
+	key := callerKey{totalKey{h.Host, h.Incarnation, t.Unit, t.Code, t.Intent}, t.Caller}
+	row := r.callers[key]
+	if row == nil && len(svc.Callers) >= MaxCallers {
+		svc.CallersDropped = true
+		return
+	}
+	if row == nil {
+		row = &catalogpb.CallerTotal{
+			Host: h.Host, Incarnation: h.Incarnation, Caller: t.Caller, Unit: t.Unit, Code: t.Code, Intent: t.Intent,
+		}
+		r.callers[key] = row
+		svc.Callers = append(svc.Callers, row)
+	}
+	row.Count = max(row.Count, t.Count)
+	row.LastUnixMs = max(row.LastUnixMs, t.LastUnixMs)
+}
+
+// sortAccount orders the rows of a service, so that equal states have equal snapshots.
+func sortAccount(svc *catalogpb.Service) {
+	slices.SortFunc(svc.Totals, func(a, b *catalogpb.Total) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Unit, b.Unit),
+			cmp.Compare(a.Code, b.Code), cmp.Compare(a.Intent, b.Intent))
+	})
+	slices.SortFunc(svc.Callers, func(a, b *catalogpb.CallerTotal) int {
+		return cmp.Or(cmp.Compare(a.Caller, b.Caller), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation),
+			cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Intent, b.Intent))
+	})
+}
--- /dev/null
+++ b/internal/control/execute.go
@@ -0,0 +1,138 @@
+package control
+
+import (
+	"context"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/plantainseam/plantainseam/internal/planner"
+	"github.com/plantainseam/plantainseam/rpc/catalogpb"
+	"github.com/plantainseam/plantainseam/rpc/intentpb"
+)
+
+// stepPlans looks at every running plan and starts its next action. An intent has one proposal in flight at most. The
+// catalog ignores a step that was carried out before, so that a lost answer or a new leader repeats nothing.
+func (c *Control) stepPlans(ctx context.Context) {
+	type work struct {
+		intent uint64
+		run    func(ctx context.Context) error
+	}
+	var todo []work
+	c.view(func(v planner.View) {
+		for _, in := range v.Catalog.Running() {
+			if c.running[in.Id] {
+				continue
+			}
+			next := planner.NextStep(v, in)
+			if next.Action == planner.Wait {
+				c.waiting[in.Id] = next.Reason
+				continue
+			}
+			todo = append(todo, work{in.Id, c.action(in, next)})
+		}
+	})
+	for _, w := range todo {
+		c.running[w.intent] = true
+		c.start(ctx, doneStep, w.intent, w.run)
+	}
+}
+
+// action returns the work of one step. It copies what it needs of the intent.
+func (c *Control) action(in *intentpb.Intent, next planner.Next) func(ctx context.Context) error {
+	id, number, index := in.Id, in.Plan.Number, in.Step
+	replace := in.Spec.GetReplace()
+	if next.Action == planner.Overdue {
+		cmd := &catalogpb.Overdue{Intent: id, Callers: next.Callers, Work: next.Work}
+		return func(ctx context.Context) error {
+			_, err := c.propose(ctx, &catalogpb.Command{Do: &catalogpb.Command_Overdue{Overdue: cmd}})
+			c.cfg.Event("drain-overdue", id, "", next.Reason)
+			return err
+		}
+	}
+	advance := &catalogpb.Advance{Intent: id, Number: number, Step: index}
+	text := in.Plan.Steps[index].Text
+	return func(ctx context.Context) error {
+		if err := c.changeMembers(ctx, next.Action, replace); err != nil {
+			return err
+		}
+		_, err := c.propose(ctx, &catalogpb.Command{Do: &catalogpb.Command_Advance{Advance: advance}})
+		if err == nil {
+			c.cfg.Event("plan-step", id, "", text)
+			level.Info(c.cfg.Logger).Log("event", "plan-step", "intent", id, "plan", number, "step", index, "text", text)
+		}
+		return err
+	}
+}
+
+func (c *Control) changeMembers(ctx context.Context, action planner.Action, replace *intentpb.ReplaceControl) error {
+	switch action {
+	case planner.AddControl:
+		return c.cfg.Members.Add(ctx, replace.New, replace.Address)
+	case planner.RemoveControl:
+		return c.cfg.Members.Remove(ctx, replace.Old)
+	}
+	return nil
+}
+
+// checkMembers proposes what the lease table says about lost and returned hosts.
+func (c *Control) checkMembers(ctx context.Context) {
+	if c.checking {
+		return
+	}
+	var cmds []*catalogpb.Command
+	c.view(func(v planner.View) {
+		verdict := c.table.Check(v.Now, v.Catalog)
+		if len(verdict.Lost) > 0 {
+			cmds = append(cmds, &catalogpb.Command{Do: &catalogpb.Command_Lost{Lost: &catalogpb.DeclareLost{Hosts: verdict.Lost}}})
+		}
+		if len(verdict.Return) > 0 {
+			cmds = append(cmds, &catalogpb.Command{Do: &catalogpb.Command_Return{Return: &catalogpb.Return{Hosts: verdict.Return}}})
+		}
+		if len(verdict.Forget) > 0 {
+			cmds = append(cmds, &catalogpb.Command{Do: &catalogpb.Command_Forget{Forget: &catalogpb.Forget{Hosts: verdict.Forget}}})
+		}
+		for _, l := range verdict.Lost {
+			c.cfg.Event("host-lost", 0, l.Host, "")
+		}
+	})
+	if len(cmds) == 0 {
+		return
+	}
+	c.checking = true
+	c.start(ctx, doneCheck, 0, func(ctx context.Context) error {
+		for _, cmd := range cmds {
+			if _, err := c.propose(ctx, cmd); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// syncControl records the control VMs in the catalog when the log's members have changed.
+func (c *Control) syncControl(ctx context.Context) {
+	if c.cfg.Members == nil || c.syncing {
+		return
+	}
+	set := &catalogpb.SetControl{}
+	same := false
+	c.view(func(v planner.View) {
+		known := map[string]string{}
+		for _, m := range v.Catalog.Control() {
+			known[m.Id] = m.Address
+		}
+		same = len(known) == len(v.Control)
+		for _, m := range v.Control {
+			set.Members = append(set.Members, &catalogpb.ControlMember{Id: m.ID, Address: m.Address})
+			same = same && known[m.ID] == m.Address
+		}
+	})
+	if same {
+		return
+	}
+	c.syncing = true
+	c.start(ctx, doneSync, 0, func(ctx context.Context) error {
+		_, err := c.propose(ctx, &catalogpb.Command{Do: &catalogpb.Command_SetControl{SetControl: set}})
+		return err
+	})
+}
--- /dev/null
+++ b/internal/control/path_test.go
@@ -0,0 +1,197 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/control"
+	"github.com/plantainseam/plantainseam/internal/dissemination"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
+	"github.com/plantainseam/plantainseam/rpc/intentpb"
+	"github.com/plantainseam/plantainseam/rpc/memberpb"
+)
+
+// rig is a set of control VMs over an in-memory log, with hosts that the test announces.
+type rig struct {
+	g     *WithT
+	ctx   context.Context
+	clock *clock
+	log   *memLog
+	nodes []*node
+	hosts map[string]*memberpb.AnnounceRequest
+}
+
+type node struct {
+	tick    chan time.Time
+	server  *dissemination.Server
+	intents *control.IntentsServer
+	members *control.MembershipServer
+}
+
+func newRig(t *testing.T, vms int) *rig {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	r := &rig{g: g, ctx: ctx, clock: newClock(), hosts: map[string]*memberpb.AnnounceRequest{}}
+	r.log = newMemLog(vms, r.clock.Now)
+	for _, rep := range r.log.replicas {
+		n := &node{tick: make(chan time.Time), server: dissemination.NewServer()}
+		c := control.New(control.Config{Log: rep, Members: rep, State: rep.state, Server: n.server, Now: r.clock.Now, Tick: n.tick})
+		n.intents = control.NewIntentsServer(c, control.Auth{})
+		n.members = control.NewMembershipServer(c, control.Auth{})
+		go c.Run(ctx)
+		r.nodes = append(r.nodes, n)
+	}
+	r.ticks()
+	return r
+}
+
+// leader returns the leading node.
+func (r *rig) leader() *node {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	return r.nodes[r.log.leader]
+}
+
+// ticks gives every control VM time to act on its present state: work that a tick starts is done within a few more.
+func (r *rig) ticks() {
+	for range 6 {
+		for _, n := range r.nodes {
+			n.tick <- r.clock.Now()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func operator(name string) context.Context {
+	return control.WithCaller(context.Background(), control.Caller{Name: name, Role: control.RoleOperator})
+}
+
+// host prepares an upstream that carries the services.
+func (r *rig) host(host, domain string, carries ...string) *memberpb.AnnounceRequest {
+	n := len(r.hosts) + 1
+	req := &memberpb.AnnounceRequest{
+		Host: host, Incarnation: 1, FailureDomain: domain, Carries: carries, Slots: 3, MaxConnections: 2000,
+		Tunnel: fmt.Sprintf("127.0.1.%d:6081", n), Rpc: fmt.Sprintf("127.0.1.%d:7000", n),
+	}
+	r.hosts[host] = req
+	return req
+}
+
+func (r *rig) entry(host, domain string) *memberpb.AnnounceRequest {
+	req := r.host(host, domain)
+	req.Entry = true
+	return req
+}
+
+// announce sends one heartbeat of every host with the newest revision in force.
+func (r *rig) announce() {
+	for _, req := range r.hosts {
+		r.heartbeat(req)
+	}
+}
+
+func (r *rig) heartbeat(req *memberpb.AnnounceRequest) *memberpb.AnnounceResponse {
+	req.Sequence++
+	req.Revision = uint64(r.log.replicas[0].state.Config().Revision)
+	role := control.RoleUpstream
+	if req.Entry {
+		role = control.RoleEntry
+	}
+	ctx := control.WithCaller(context.Background(), control.Caller{Name: req.Host, Role: role})
+	res, err := r.leader().members.Announce(ctx, req)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	return res
+}
+
+// settle announces and ticks for some heartbeats.
+func (r *rig) settle(heartbeats int) {
+	for range heartbeats {
+		r.clock.Advance(time.Second)
+		r.announce()
+		r.ticks()
+	}
+}
+
+func (r *rig) plan(who, key string, spec *intentpb.Spec) *intentpb.IntentResponse {
+	res, err := r.leader().intents.Plan(operator(who), &intentpb.PlanRequest{Key: key, Spec: spec})
+	r.g.Expect(err).NotTo(HaveOccurred())
+	return res
+}
+
+func (r *rig) confirm(who string, in *intentpb.Intent) *intentpb.IntentResponse {
+	res, err := r.leader().intents.Confirm(operator(who), &intentpb.ConfirmRequest{Intent: in.Id, Plan: in.Plan.Number})
+	r.g.Expect(err).NotTo(HaveOccurred())
+	return res
+}
+
+func (r *rig) get(id uint64) *intentpb.Intent {
+	res, err := r.leader().intents.Get(operator("ann"), &intentpb.IntentRequest{Intent: id})
+	r.g.Expect(err).NotTo(HaveOccurred())
+	return res.Intent
+}
+
+// carry plans, confirms and carries out an intent.
+func (r *rig) carry(key string, spec *intentpb.Spec) *intentpb.Intent {
+	res := r.plan("ann", key, spec)
+	r.g.Expect(res.Code).To(BeZero(), res.Detail)
+	res = r.confirm("ann", res.Intent)
+	r.g.Expect(res.Code).To(BeZero(), res.Detail)
+	r.settle(8)
+	in := r.get(res.Intent.Id)
+	r.g.Expect(in.State).To(Equal(intentpb.State_STATE_DONE), in.Waiting)
+	return in
+}
+
+func createSpec(name, frontend, kind string, hosts ...string) *intentpb.Spec {
+	return &intentpb.Spec{Want: &intentpb.Spec_Create{Create: &intentpb.CreateService{
+		Name: name, Frontend: frontend, Kind: kind, Hosts: hosts,
+	}}}
+}
+
+func retireSpec(host string) *intentpb.Spec {
+	return &intentpb.Spec{Want: &intentpb.Spec_Retire{Retire: &intentpb.RetireHost{Host: host}}}
+}
+
+// Guards against a break anywhere between an announcement and the configuration at a client: two upstreams announce
+// themselves, a service is created, one host is retired, and a client over twirp sees it.
+func TestWholePath(t *testing.T) {
+	r := newRig(t, 3)
+	g := r.g
+	r.entry("e1", "ub-campus")
+	r.host("h1", "ub-bayangol", "sample-book")
+	r.host("h2", "ub-khanuul", "sample-book")
+	r.settle(1)
+	r.carry("create", createSpec("sample-book", "10.0.0.1:80", "stream", "h1", "h2"))
+
+	web := httptest.NewServer(configpb.NewConfigurationServer(r.nodes[1].server))
+	defer web.Close()
+	defer web.CloseClientConnections() // ends the long poll that Close would wait for
+	applied := make(chan *model.Snapshot, 16)
+	client, err := dissemination.NewClient(dissemination.ClientConfig{
+		Host: "e1", Servers: []string{web.URL}, DataDir: t.TempDir(), OnApply: func(s *model.Snapshot) { applied <- s },
+		NewTransport: func() http.RoundTripper { return &http.Transport{} },
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	go client.Run(r.ctx)
+	before := <-applied
+	svc := before.ServiceByName("sample-book")
+	g.Expect(svc.Members).To(Equal([]model.Member{{Host: "h1", State: model.UpstreamActive}, {Host: "h2", State: model.UpstreamActive}}))
+
+	in := r.carry("retire", retireSpec("h1"))
+	g.Expect(in.ConfirmedBy).To(Equal("ann"))
+	var after *model.Snapshot
+	g.Eventually(applied).Should(Receive(&after, WithTransform(func(s *model.Snapshot) int {
+		return len(s.ServiceByName("sample-book").Members)
+	}, Equal(1))))
+	g.Expect(after.Revision).To(BeNumerically(">", before.Revision))
+	g.Expect(after.ServiceByName("sample-book").Generation).To(BeNumerically(">", svc.Generation))
+	g.Expect(after.Upstreams).NotTo(HaveKey(model.HostID("h1")))
+}
--- /dev/null
+++ b/internal/dissemination/client.go
@@ -0,0 +1,263 @@
+package dissemination
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
+)
+
+// Times of a client, unless ClientConfig says otherwise.
+const (
+	DefaultWait    = 10 * time.Second       // how long a server may hold a Fetch
+	DefaultSilence = 3 * time.Second        // time beyond the wait after which a connection counts as silent
+	DefaultProbe   = 5 * time.Second        // interval of short fetches from the other servers in turn
+	DefaultRetry   = 200 * time.Millisecond // pause after a failed fetch
+	MaxRetry       = 5 * time.Second        // the pause doubles with each failure in a row up to this
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Host         string
+	Servers      []string // base URLs in order of preference: control VMs, then near peers
+	NewTransport func() http.RoundTripper
+	DataDir      string // empty if the process has none; the newest revision is then not kept
+	Logger       log.Logger
+	OnApply      func(s *model.Snapshot) // called from the client's goroutine, in order of revision
+
+	Wait, Silence, Probe, Retry time.Duration
+}
+
+func (c *ClientConfig) setDefaults() {
+	if c.Logger == nil {
+		c.Logger = log.NewNopLogger()
+	}
+	if c.NewTransport == nil {
+		c.NewTransport = func() http.RoundTripper { return &http.Transport{MaxIdleConnsPerHost: 1} }
+	}
+	c.Wait = orDefault(c.Wait, DefaultWait)
+	c.Silence = orDefault(c.Silence, DefaultSilence)
+	c.Probe = orDefault(c.Probe, DefaultProbe)
+	c.Retry = orDefault(c.Retry, DefaultRetry)
+}
+
+func orDefault(d, def time.Duration) time.Duration {
+	if d == 0 {
+		return def
+	}
+	return d
+}
+
+// Client keeps a process at the newest configuration. One goroutine, Run, owns the current snapshot.
+type Client struct {
+	cfg     ClientConfig
+	current *model.Snapshot
+	digest  []byte
+	full    bool // the next fetch asks for a full snapshot, after a digest that did not match
+	hints   chan model.Revision
+}
+
+// NewClient loads the stored snapshot, if any. A damaged file is result.StoreCorrupt: the process has lost the revision
+// below which it must not go, and the operator decides whether it starts without.
+func NewClient(cfg ClientConfig) (*Client, error) {
+	cfg.setDefaults()
+	c := &Client{cfg: cfg, current: model.NewSnapshot(), hints: make(chan model.Revision, 1)}
+	if cfg.DataDir != "" {
+		s, err := Load(cfg.DataDir)
+		if err != nil {
+			return nil, err
+		}
+		c.current = s
+	}
+	c.digest = Digest(c.current)
+	return c, nil
+}
+
+// Hint tells the client that a revision exists, for example from the answer to an announcement. It never blocks.
+func (c *Client) Hint(r model.Revision) {
+	select {
+	case c.hints <- r:
+	default:
+	}
+}
+
+// Run fetches until ctx ends. A long poll runs at one server; the others are asked in turn with short fetches, so that
+// a server that is partitioned from the leader cannot hold the process back.
+func (c *Client) Run(ctx context.Context) error {
+	if c.current.Revision > 0 {
+		c.cfg.OnApply(c.current)
+	}
+	if len(c.cfg.Servers) == 0 {
+		return result.Errorf(result.SettingsMissing, "no configuration servers")
+	}
+	answers := make(chan answer)
+	poll := newConnection(c.cfg, 0)
+	probe := newConnection(c.cfg, 1%len(c.cfg.Servers))
+	go poll.run(ctx, c.cfg.Wait, 0, answers)
+	if len(c.cfg.Servers) > 1 {
+		go probe.run(ctx, 0, c.cfg.Probe, answers)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case r := <-c.hints:
+			if r > c.current.Revision {
+				probe.kick()
+			}
+		case a := <-answers:
+			a.reply <- c.handle(a)
+		}
+	}
+}
+
+// answer is one step of a connection, handled by Run's goroutine. A nil response asks what to fetch next.
+type answer struct {
+	from  string
+	res   *configpb.FetchResponse
+	reply chan order
+}
+
+// order tells a connection what to fetch next.
+type order struct {
+	req     *configpb.FetchRequest
+	refused bool // the last response was not applied; another server may do better
+}
+
+// handle applies a response and returns the next order.
+func (c *Client) handle(a answer) order {
+	o := order{}
+	if a.res != nil {
+		o.refused = !c.apply(a)
+	}
+	o.req = &configpb.FetchRequest{Since: uint64(c.current.Revision), Digest: c.digest, Host: c.cfg.Host}
+	if c.full {
+		o.req.Since, o.req.Digest = 0, nil
+	}
+	return o
+}
+
+// apply installs a response and says whether it was acceptable.
+func (c *Client) apply(a answer) bool {
+	next, err := Next(c.current, a.res)
+	if err != nil {
+		c.full = c.full || result.CodeOf(err) == result.RevisionDigest
+		level.Warn(c.cfg.Logger).Log("event", "configuration-refused", "server", a.from, "code", int(result.CodeOf(err)), "err", err)
+		return false
+	}
+	if next == nil {
+		c.full = c.full && a.res.Snapshot == nil
+		return true
+	}
+	if c.cfg.DataDir != "" {
+		if err := Save(c.cfg.DataDir, next); err != nil { // applying it unsaved could revert after a restart
+			level.Error(c.cfg.Logger).Log("event", "configuration-not-saved", "code", int(result.CodeOf(err)), "err", err)
+			return false
+		}
+	}
+	c.full = false
+	c.current = next
+	c.digest = Digest(next)
+	c.cfg.OnApply(next)
+	return true
+}
+
+// connection fetches from one server at a time.
+type connection struct {
+	cfg    ClientConfig
+	server int
+	kicks  chan struct{}
+
+	transport http.RoundTripper
+	service   configpb.Configuration
+}
+
+func newConnection(cfg ClientConfig, server int) *connection {
+	return &connection{cfg: cfg, server: server, kicks: make(chan struct{}, 1)}
+}
+
+// kick ends the pause between two short fetches.
+func (c *connection) kick() {
+	select {
+	case c.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// run fetches until ctx ends. With a pause it asks the next server after each pause; without one it stays at its server
+// until a fetch fails.
+func (c *connection) run(ctx context.Context, wait, pause time.Duration, answers chan<- answer) {
+	reply := make(chan order, 1)
+	var last *configpb.FetchResponse
+	failures := 0
+	for ctx.Err() == nil {
+		select {
+		case answers <- answer{from: c.cfg.Servers[c.server], res: last, reply: reply}:
+		case <-ctx.Done():
+			return
+		}
+		o := <-reply
+		if o.refused {
+			failures++
+			c.leave()
+			c.sleep(ctx, backoff(c.cfg.Retry, failures))
+		}
+		o.req.WaitMs = uint32(wait.Milliseconds())
+		res, err := c.fetch(ctx, o.req, wait)
+		last = res
+		if err != nil {
+			failures++
+			c.leave()
+			c.sleep(ctx, backoff(c.cfg.Retry, failures))
+			continue
+		}
+		if !o.refused {
+			failures = 0
+		}
+		if pause > 0 {
+			c.leave()
+			c.sleep(ctx, pause)
+		}
+	}
+}
+
+func backoff(base time.Duration, failures int) time.Duration {
+	return min(base<<min(failures-1, 10), MaxRetry)
+}
+
+// fetch makes one call. When the server does not answer in time the call fails, and leave discards its connection: the
+// connection may have lost its state at a device in between, and a new one works.
+func (c *connection) fetch(ctx context.Context, req *configpb.FetchRequest, wait time.Duration) (*configpb.FetchResponse, error) {
+	if c.service == nil {
+		c.transport = c.cfg.NewTransport()
+		c.service = configpb.NewConfigurationProtobufClient(c.cfg.Servers[c.server], &http.Client{Transport: c.transport})
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+c.cfg.Silence)
+	defer cancel()
+	return c.service.Fetch(ctx, req)
+}
+
+// leave closes the connection and moves to the next server.
+func (c *connection) leave() {
+	if t, ok := c.transport.(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+	c.transport, c.service = nil, nil
+	c.server = (c.server + 1) % len(c.cfg.Servers)
+}
+
+func (c *connection) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.kicks:
+	case <-ctx.Done():
+	}
+}
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -135,9 +135,16 @@
 	RPC           netip.AddrPort
 }
 
+// KeyRing names the tunnel keys in use. The keys themselves are in the settings of each VM.
+type KeyRing struct {
+	Active   uint32   // key that signs
+	Accepted []uint32 // keys that verify, ascending
+}
+
 // Snapshot is one revision of the configuration. It is immutable after publication.
 type Snapshot struct {
 	Revision  Revision
+	Keys      KeyRing
 	Services  map[ServiceID]*Service
 	Upstreams map[HostID]*Upstream
 	Entries   map[HostID]*Entry
@@ -156,6 +163,7 @@
 func (s *Snapshot) Clone() *Snapshot {
 	c := NewSnapshot()
 	c.Revision = s.Revision
+	c.Keys = s.Keys
 	for id, svc := range s.Services {
 		c.Services[id] = svc
 	}
