Let agents observe each other, and the log's transport use the peer credentials

Cause: failure detection needs observers besides the leader, and the log's calls must re-read certificates. Change: an agent notes when it last heard each agent of its services; consensus takes a connection factory; settings name the identities of initial control VMs; tunnel secrets are at least 32 bytes, the output length of the MAC's hash.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -54,6 +54,7 @@
 
 	ConnHandler ConnHandler                            // for services of kind request; the stream relay if nil
 	Fetch       func()                                 // asks for a newer configuration; must not block
+	Opened      func(key model.FlowKey)                // reports an established flow; must not block
 	Ended       func(key model.FlowKey, c result.Code) // reports the end of an established flow; must not block
 	Logger      log.Logger
 }
@@ -196,6 +197,9 @@
 		_ = c.Close()
 		return
 	}
+	if a.cfg.Opened != nil {
+		a.cfg.Opened(key)
+	}
 	a.events.put(event{key: key, established: true})
 	go a.serve(svc, f, c)
 }
--- a/internal/agent/packets.go
+++ b/internal/agent/packets.go
@@ -20,6 +20,8 @@
 	codec    *tunnel.Codec
 	local    flow.Local
 	draining bool
+	heard    map[model.HostID]time.Time // latest message of each agent
+	joined   map[model.HostID]time.Time // since when an agent is expected to send messages
 	actions  []flow.Action
 	events   []event
 	buf      []byte // outgoing packets, with room for the header in front
@@ -31,6 +33,8 @@
 		machine: a.cfg.Machine,
 		view:    a.view.Load(),
 		codec:   tunnel.NewCodec(&a.keys),
+		heard:   map[model.HostID]time.Time{},
+		joined:  map[model.HostID]time.Time{},
 		buf:     make([]byte, tunnel.MaxHeader+maxDatagram),
 	}
 }
@@ -133,6 +137,7 @@
 		return
 	}
 	l.agent.count.messages.Add(1)
+	l.heard[from.Host] = now
 	l.actions = l.machine.Message(now, from, message, l.actions[:0])
 	l.execute(now)
 }
--- a/internal/consensus/node/twirp.go
+++ b/internal/consensus/node/twirp.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -18,13 +17,21 @@
 
 // TwirpConfig holds the settings of a Twirp transport.
 type TwirpConfig struct {
-	ID          consensus.MemberID
-	Address     string        // own RPC address, sent to members that do not know the membership yet
-	TLS         *tls.Config   // nil: plain HTTP
-	CallTimeout time.Duration // of one call including the dial; 0: DefaultCallTimeout
-	QueueBytes  int           // for one log and member; 0: DefaultQueueBytes
-	BatchBytes  int           // messages in one call; 0: DefaultBatchBytes
-	Logger      log.Logger    // nil: none
+	ID      consensus.MemberID
+	Address string // own RPC address, sent to members that do not know the membership yet
+	Scheme  string // http or https; empty: http
+	// NewConnection returns a transport with no open connections; nil: plain TCP.
+	NewConnection func() Connection
+	CallTimeout   time.Duration // of one call including the dial; 0: DefaultCallTimeout
+	QueueBytes    int           // for one log and member; 0: DefaultQueueBytes
+	BatchBytes    int           // messages in one call; 0: DefaultBatchBytes
+	Logger        log.Logger    // nil: none
+}
+
+// Connection carries the calls to one member.
+type Connection interface {
+	http.RoundTripper
+	CloseIdleConnections()
 }
 
 // Defaults. A call that takes longer than the timeout is taken for a dead connection. The timeout leaves room for one
@@ -75,6 +82,12 @@
 	if cfg.Logger == nil {
 		cfg.Logger = log.NewNopLogger()
 	}
+	if cfg.Scheme == "" {
+		cfg.Scheme = "http"
+	}
+	if cfg.NewConnection == nil {
+		cfg.NewConnection = plainConnection
+	}
 	t := &Twirp{
 		cfg:       cfg,
 		handlers:  map[string]Handler{},
@@ -178,7 +191,7 @@
 
 	// Owned by run.
 	dialled    string // address of client
-	connection *http.Transport
+	connection Connection
 	client     pb.Consensus
 	failing    bool // the last call failed
 }
@@ -275,19 +288,17 @@
 		return
 	}
 	s.disconnect()
-	dialer := &net.Dialer{Timeout: s.cfg.CallTimeout}
-	s.connection = &http.Transport{
-		DialContext:     dialer.DialContext,
-		TLSClientConfig: s.cfg.TLS,
+	s.connection = s.cfg.NewConnection()
+	s.client = pb.NewConsensusProtobufClient(s.cfg.Scheme+"://"+address, &http.Client{Transport: s.connection})
+	s.dialled = address
+}
+
+func plainConnection() Connection {
+	return &http.Transport{
+		DialContext:     (&net.Dialer{}).DialContext,
 		MaxConnsPerHost: 1,
 		IdleConnTimeout: idleConnection,
 	}
-	scheme := "http://"
-	if s.cfg.TLS != nil {
-		scheme = "https://"
-	}
-	s.client = pb.NewConsensusProtobufClient(scheme+address, &http.Client{Transport: s.connection})
-	s.dialled = address
 }
 
 func (s *sender) disconnect() {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -38,7 +38,10 @@
 
 // NewClient returns an HTTP client for twirp. After a call fails, its idle connections are closed, so that the next
 // call opens a fresh socket and does not reuse one that a device on the path has forgotten.
-func NewClient(o ClientOptions) *http.Client {
+func NewClient(o ClientOptions) *http.Client { return &http.Client{Transport: NewTransport(o)} }
+
+// NewTransport returns the transport of NewClient with connections of its own.
+func NewTransport(o ClientOptions) *Transport {
 	dial := o.Dialer
 	if dial == nil {
 		dial = defaultDialer().DialContext
@@ -51,7 +54,7 @@
 	if o.Credentials != nil {
 		transport.DialTLSContext = tlsDialer(dial, o.Credentials)
 	}
-	return &http.Client{Transport: &roundTripper{next: transport, options: o}}
+	return &Transport{next: transport, options: o}
 }
 
 func defaultDialer() *net.Dialer {
@@ -88,13 +91,14 @@
 	}
 }
 
-type roundTripper struct {
+// Transport is an http.RoundTripper that identifies the process and carries its clock.
+type Transport struct {
 	next    *http.Transport
 	options ClientOptions
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t *roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	if t.options.Credentials == nil {
 		r.Header.Set(nameHeader, t.options.Identity.Name)
@@ -112,6 +116,9 @@
 	return resp, nil
 }
 
+// CloseIdleConnections closes the connections that carry no call.
+func (t *Transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
 func joinRoles(roles []Role) string {
 	var out []string
 	for _, r := range roles {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -157,7 +157,10 @@
 			c.fail(result.SettingsContradictory, key+".name", "server %q is listed twice", name)
 		}
 		names[name] = true
-		out.Servers = append(out.Servers, ControlServer{Name: name, RPC: c.address(key+".rpc", server.RPC)})
+		if f.Bootstrap && server.Identity == "" {
+			c.fail(result.SettingsMissing, key+".identity", "the initial control VMs need the identity that --init-data prints")
+		}
+		out.Servers = append(out.Servers, ControlServer{Name: name, RPC: c.address(key+".rpc", server.RPC), Identity: server.Identity})
 	}
 	c.controlRole(s, f, names)
 	return out
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -46,8 +46,9 @@
 }
 
 type fileServer struct {
-	Name string `yaml:"name"`
-	RPC  string `yaml:"rpc"`
+	Name     string `yaml:"name"`
+	RPC      string `yaml:"rpc"`
+	Identity string `yaml:"identity"`
 }
 
 type fileTunnel struct {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/tunnel"
 )
 
 // Role is a part that a process plays.
@@ -48,6 +49,8 @@
 type ControlServer struct {
 	Name model.HostID
 	RPC  netip.AddrPort
+	// Identity is that of the VM's data directory, as printed by --init-data. Initial control VMs need it.
+	Identity string
 }
 
 // Control lists the control VMs, and says how a control VM starts.
@@ -99,9 +102,9 @@
 	maxConnectionsLimit   = 65535
 	defaultProbeInterval  = 10 * time.Second
 	defaultProbeCount     = 3
-	minSecretBytes        = 16
+	minSecretBytes        = tunnel.MinSecretLen
 	minControlServers     = 1
 	maxControlServers     = 7
-	// maxSilence is the time within which a silent flow must be ended.
-	maxSilence = 60 * time.Second
+	// maxSilence leaves one second of the promised 60 s for the sweep that ends silent flows.
+	maxSilence = 59 * time.Second
 )
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -29,7 +29,7 @@
   fabric: 127.0.0.1:6081
   keys:
     - id: 1
-      secret: AAECAwQFBgcICQoLDA0ODw==
+      secret: AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=
 upstream:
   carries: [sample-book]
   backend: 127.0.2.1:8080
@@ -56,27 +56,28 @@
 		code     result.Code
 		where    string
 	}{
-		"unknown key":             {"  slots: 3", "  slot: 3", result.SettingsUnknownKey, `f.yaml:21: key "slot"`},
-		"bad address":             {"rpc: 127.0.2.1:7000\nm", "rpc: ub-u1:7000\nm", result.SettingsBadValue, `f.yaml:4: key "rpc"`},
-		"port zero":               {"127.0.2.1:9100", "127.0.2.1:0", result.SettingsBadValue, `f.yaml:5: key "metrics"`},
-		"missing failure domain":  {"failure_domain: ub-bayangol\n", "", result.SettingsMissing, `key "failure_domain"`},
-		"missing host":            {"host: ub-u1\n", "", result.SettingsMissing, `key "host"`},
-		"bad host":                {"host: ub-u1", "host: UB_U1", result.SettingsBadValue, `f.yaml:1: key "host"`},
-		"no role":                 {"[upstream]", "[]", result.SettingsMissing, `f.yaml:3: key "roles"`},
-		"unknown role":            {"[upstream]", "[proxy]", result.SettingsBadValue, `key "roles[0]"`},
-		"role twice":              {"[upstream]", "[upstream, upstream]", result.SettingsContradictory, `key "roles[1]"`},
-		"entry and upstream":      {"[upstream]", "[upstream, entry]", result.SettingsContradictory, `key "roles"`},
-		"upstream without role":   {"[upstream]", "[entry]", result.SettingsContradictory, `key "tunnel.fabric"`},
-		"control without data":    {"[upstream]", "[upstream, control]", result.SettingsMissing, `key "control.signing_key"`},
-		"bootstrap without role":  {"control:\n", "control:\n  bootstrap: true\n", result.SettingsContradictory, `f.yaml:9: key "control.bootstrap"`},
-		"plain text not explicit": {"  insecure: true", "  insecure: false", result.SettingsMissing, `key "tls.certificate"`},
-		"files and plain text":    {"  insecure: true", "  insecure: true\n  key: k.pem", result.SettingsContradictory, `f.yaml:8: key "tls.key"`},
-		"slots out of range":      {"slots: 3", "slots: 0", result.SettingsBadValue, `f.yaml:21: key "upstream.slots"`},
-		"slots not a number":      {"slots: 3", "slots: many", result.SettingsBadValue, `f.yaml:21: key "slots"`},
-		"short secret":            {"AAECAwQFBgcICQoLDA0ODw==", "AAEC", result.SettingsBadValue, `f.yaml:17: key "tunnel.keys[0].secret"`},
-		"secret not base64":       {"AAECAwQFBgcICQoLDA0ODw==", "###", result.SettingsBadValue, `key "tunnel.keys[0].secret"`},
-		"key id out of range":     {"- id: 1", "- id: 0", result.SettingsBadValue, `f.yaml:16: key "tunnel.keys[0].id"`},
-		"silence too long":        {"  slots: 3", "  probe_interval: 30s", result.SettingsContradictory, `key "upstream.probe_interval"`},
+		"unknown key":                {"  slots: 3", "  slot: 3", result.SettingsUnknownKey, `f.yaml:21: key "slot"`},
+		"bad address":                {"rpc: 127.0.2.1:7000\nm", "rpc: ub-u1:7000\nm", result.SettingsBadValue, `f.yaml:4: key "rpc"`},
+		"port zero":                  {"127.0.2.1:9100", "127.0.2.1:0", result.SettingsBadValue, `f.yaml:5: key "metrics"`},
+		"missing failure domain":     {"failure_domain: ub-bayangol\n", "", result.SettingsMissing, `key "failure_domain"`},
+		"missing host":               {"host: ub-u1\n", "", result.SettingsMissing, `key "host"`},
+		"bad host":                   {"host: ub-u1", "host: UB_U1", result.SettingsBadValue, `f.yaml:1: key "host"`},
+		"no role":                    {"[upstream]", "[]", result.SettingsMissing, `f.yaml:3: key "roles"`},
+		"unknown role":               {"[upstream]", "[proxy]", result.SettingsBadValue, `key "roles[0]"`},
+		"role twice":                 {"[upstream]", "[upstream, upstream]", result.SettingsContradictory, `key "roles[1]"`},
+		"entry and upstream":         {"[upstream]", "[upstream, entry]", result.SettingsContradictory, `key "roles"`},
+		"upstream without role":      {"[upstream]", "[entry]", result.SettingsContradictory, `key "tunnel.fabric"`},
+		"control without data":       {"[upstream]", "[upstream, control]", result.SettingsMissing, `key "control.signing_key"`},
+		"signing key without role":   {"control:\n", "control:\n  signing_key: k\n", result.SettingsContradictory, `f.yaml:9: key "control.signing_key"`},
+		"bootstrap without identity": {"control:\n", "control:\n  bootstrap: true\n", result.SettingsMissing, `f.yaml:11: key "control.servers[0].identity"`},
+		"plain text not explicit":    {"  insecure: true", "  insecure: false", result.SettingsMissing, `key "tls.certificate"`},
+		"files and plain text":       {"  insecure: true", "  insecure: true\n  key: k.pem", result.SettingsContradictory, `f.yaml:8: key "tls.key"`},
+		"slots out of range":         {"slots: 3", "slots: 0", result.SettingsBadValue, `f.yaml:21: key "upstream.slots"`},
+		"slots not a number":         {"slots: 3", "slots: many", result.SettingsBadValue, `f.yaml:21: key "slots"`},
+		"short secret":               {"AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=", "AAEC", result.SettingsBadValue, `f.yaml:17: key "tunnel.keys[0].secret"`},
+		"secret not base64":          {"AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=", "###", result.SettingsBadValue, `key "tunnel.keys[0].secret"`},
+		"key id out of range":        {"- id: 1", "- id: 0", result.SettingsBadValue, `f.yaml:16: key "tunnel.keys[0].id"`},
+		"silence too long":           {"  slots: 3", "  probe_interval: 30s", result.SettingsContradictory, `key "upstream.probe_interval"`},
 		"probe interval too short": {"  slots: 3", "  probe_interval: 1ms", result.SettingsBadValue,
 			`key "upstream.probe_interval"`},
 		"no service":     {"[sample-book]", "[]", result.SettingsMissing, `key "upstream.carries"`},
