--- /dev/null
+++ b/internal/daemon/configuration.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/plantainseam/plantainseam/internal/dissemination"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/routing"
+	"github.com/plantainseam/plantainseam/internal/timeline"
+	"github.com/plantainseam/plantainseam/internal/tunnel"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
+)
+
+// dataPath is the traffic side of a role.
+type dataPath interface {
+	Apply(*model.Snapshot, *routing.Table)
+	SetKeys(*tunnel.KeyRing)
+}
+
+// configuration keeps an entry or agent at the newest revision and serves it to near peers.
+type configuration struct {
+	process *process
+	client  *dissemination.Client
+	server  *dissemination.Server
+	path    dataPath
+	table   *routing.Table // used by the client's goroutine only
+	applied atomic.Uint64  // revision in force
+	// admit says whether a snapshot may be installed; nil admits all.
+	admit func(*model.Snapshot) bool
+	after func(*model.Snapshot) // called after a snapshot is in force; may be nil
+}
+
+func newConfiguration(p *process, path dataPath) (*configuration, error) {
+	c := &configuration{process: p, server: dissemination.NewServer(), path: path}
+	c.table = routing.Build(model.NewSnapshot())
+	var servers []string
+	for _, address := range p.controlAddresses() {
+		servers = append(servers, p.scheme()+"://"+address)
+	}
+	client, err := dissemination.NewClient(dissemination.ClientConfig{
+		Host:         string(p.ref.Host),
+		Servers:      servers,
+		NewTransport: func() http.RoundTripper { return p.transport() },
+		DataDir:      p.settings.DataDir,
+		Logger:       p.logger,
+		OnApply:      c.apply,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.client = client
+	p.mux.Handle(configpb.ConfigurationPathPrefix, configpb.NewConfigurationServer(c.server))
+	return c, nil
+}
+
+func (c *configuration) run(ctx context.Context) { _ = c.client.Run(ctx) }
+
+// revision returns the revision in force.
+func (c *configuration) revision() model.Revision { return model.Revision(c.applied.Load()) }
+
+// apply installs a snapshot. It runs in the client's goroutine.
+func (c *configuration) apply(s *model.Snapshot) {
+	if c.admit != nil && !c.admit(s) {
+		return
+	}
+	ring, err := keyRing(c.process.settings.Tunnel.Keys, s.Keys)
+	if err != nil {
+		// The revision stays out of force, and the operator sees that at this VM.
+		level.Error(c.process.logger).Log("event", "configuration-refused", "revision", s.Revision, "err", err)
+		c.process.events.Record(timeline.Event{Kind: timeline.KindConfigRefused, Detail: err.Error()})
+		return
+	}
+	c.table = routing.BuildFrom(c.table, s)
+	c.path.SetKeys(ring)
+	c.path.Apply(s, c.table)
+	c.applied.Store(uint64(s.Revision))
+	if err := c.server.Publish(s); err != nil {
+		level.Warn(c.process.logger).Log("event", "configuration-not-served", "err", err)
+	}
+	c.process.events.Record(timeline.Event{Kind: timeline.KindConfigApplied, Detail: revisionDetail(s.Revision)})
+	level.Debug(c.process.logger).Log("event", "configuration-applied", "revision", s.Revision)
+	if c.after != nil {
+		c.after(s)
+	}
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,280 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/plantainseam/plantainseam/internal/binding"
+	"github.com/plantainseam/plantainseam/internal/consensus"
+	"github.com/plantainseam/plantainseam/internal/consensus/node"
+	"github.com/plantainseam/plantainseam/internal/consensus/store"
+	"github.com/plantainseam/plantainseam/internal/control"
+	"github.com/plantainseam/plantainseam/internal/dissemination"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/peer"
+	"github.com/plantainseam/plantainseam/internal/pki"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/internal/settings"
+	"github.com/plantainseam/plantainseam/internal/timeline"
+	"github.com/plantainseam/plantainseam/rpc/bindpb"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
+	"github.com/plantainseam/plantainseam/rpc/intentpb"
+	"github.com/plantainseam/plantainseam/rpc/memberpb"
+)
+
+// Names of the replicated logs. Bindings have a log of their own, so that a burst of requests does not delay a
+// configuration.
+const (
+	catalogLog  = "catalog"
+	bindingsLog = "bindings"
+)
+
+// maxBindings bounds the keys of the bindings log.
+const maxBindings = 1_000_000
+
+// InitData creates the data directory of a control VM and returns its identity.
+func InitData(s *settings.Settings) (string, error) {
+	identity, err := store.Create(s.DataDir, string(s.Host), catalogLog, bindingsLog)
+	return string(identity.ID), err
+}
+
+// controlRole is the control role of a process.
+type controlRole struct {
+	process   *process
+	directory *store.Directory
+	transport *node.Twirp
+	catalog   *node.Node
+	bindings  *node.Node
+	state     *control.State
+	control   *control.Control
+	server    *dissemination.Server
+}
+
+func newControlRole(p *process) (*controlRole, error) {
+	key, err := pki.LoadSigningKey(p.settings.Control.SigningKey)
+	if err != nil {
+		return nil, result.Errorf(result.SettingsBadValue, "control.signing_key: %w", err)
+	}
+	r := &controlRole{process: p, state: control.NewState(), server: dissemination.NewServer()}
+	if err := r.startLogs(); err != nil {
+		r.stop()
+		return nil, err
+	}
+	r.control = control.New(control.Config{
+		Log:       newCatalogLog(r.catalog),
+		Members:   &members{logs: []*node.Node{r.catalog, r.bindings}},
+		State:     r.state,
+		Server:    r.server,
+		Logger:    p.logger,
+		SystemKey: key,
+		Event:     r.event,
+	})
+	r.serve()
+	registerControlMetrics(p.registry, r)
+	return r, nil
+}
+
+// startLogs opens the data directory and starts a member of each log.
+func (r *controlRole) startLogs() error {
+	p := r.process
+	directory, err := store.Open(p.settings.DataDir, consensus.MemberID(ownIdentity(p.settings)))
+	if err != nil {
+		return err
+	}
+	r.directory = directory
+	r.transport = node.NewTwirp(node.TwirpConfig{
+		ID:            directory.Identity().ID,
+		Address:       p.settings.RPC.String(),
+		Scheme:        p.scheme(),
+		NewConnection: func() node.Connection { return p.transport() },
+		Logger:        p.logger,
+	})
+	if r.catalog, err = r.startLog(catalogLog, r.state); err != nil {
+		return err
+	}
+	r.bindings, err = r.startLog(bindingsLog, binding.NewTable(maxBindings))
+	return err
+}
+
+func (r *controlRole) startLog(name string, machine consensus.StateMachine) (*node.Node, error) {
+	p := r.process
+	log, err := r.directory.Log(name)
+	if err != nil {
+		return nil, err
+	}
+	return node.Start(node.Config{
+		Log:          name,
+		Consensus:    consensus.Config{ID: r.directory.Identity().ID, Seed: uint64(p.ref.Incarnation)},
+		Bootstrap:    firstMembers(p.settings),
+		Store:        log,
+		StateMachine: machine,
+		Transport:    r.transport,
+		Logger:       p.logger,
+	})
+}
+
+// ownIdentity returns the identity that the settings expect of this VM, or "" if they name none.
+func ownIdentity(s *settings.Settings) string {
+	for _, server := range s.Control.Servers {
+		if server.Name == s.Host {
+			return server.Identity
+		}
+	}
+	return ""
+}
+
+// firstMembers returns the membership of a new log, or none for a VM that joins an existing one.
+func firstMembers(s *settings.Settings) []consensus.Member {
+	if !s.Control.Bootstrap {
+		return nil
+	}
+	var out []consensus.Member
+	for _, server := range s.Control.Servers {
+		out = append(out, consensus.Member{
+			ID:      consensus.MemberID(server.Identity),
+			Name:    string(server.Name),
+			Address: server.RPC.String(),
+		})
+	}
+	return out
+}
+
+// serve mounts the servers of the role.
+func (r *controlRole) serve() {
+	mux := r.process.mux
+	auth := control.Auth{Open: r.process.credentials == nil}
+	intents := intentpb.NewIntentsServer(control.NewIntentsServer(r.control, auth))
+	mux.Handle(intentpb.IntentsPathPrefix, withCaller(intents, peer.RoleOperator))
+	membership := memberpb.NewMembershipServer(control.NewMembershipServer(r.control, auth))
+	mux.Handle(memberpb.MembershipPathPrefix, withCaller(membership, peer.RoleEntry, peer.RoleUpstream))
+	mux.Handle(configpb.ConfigurationPathPrefix, configpb.NewConfigurationServer(r.server))
+	mux.Handle(r.transport.PathPrefix(), r.transport.Handler())
+	bindings := binding.NewServer(&proposer{log: r.bindings})
+	mux.Handle(bindpb.BindingsPathPrefix, bindpb.NewBindingsServer(bindings))
+}
+
+// withCaller passes the identity of a peer to the control role, under the first of the roles that the peer has.
+func withCaller(next http.Handler, roles ...peer.Role) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		id, _ := peer.FromContext(req.Context())
+		caller := control.Caller{Name: id.Name}
+		for _, role := range roles {
+			if id.Has(role) {
+				caller.Role = string(role)
+				break
+			}
+		}
+		next.ServeHTTP(w, req.WithContext(control.WithCaller(req.Context(), caller)))
+	})
+}
+
+// event records an event of the control role in the time line.
+func (r *controlRole) event(kind string, intent uint64, host, detail string) {
+	r.process.events.Record(timeline.Event{
+		Kind: timeline.Kind(kind), Intent: intent, Host: model.HostID(host), Detail: detail,
+	})
+}
+
+func (r *controlRole) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.control.Run(ctx) })
+	group.Go(func() error { return logFailure(ctx, r.catalog) })
+	group.Go(func() error { return logFailure(ctx, r.bindings) })
+	group.Go(func() error { return r.followLeader(ctx) })
+	group.Go(func() error { return r.releaseOwners(ctx) })
+	group.Go(func() error { return r.joinLeaders(ctx) })
+	err := group.Wait()
+	r.stop()
+	return err
+}
+
+// logFailure returns when a log has failed, for example because its disk did.
+func logFailure(ctx context.Context, n *node.Node) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.Done():
+		if err := n.Err(); err != nil {
+			return err
+		}
+		return errors.New("a replicated log ended")
+	}
+}
+
+// followLeader records changes of leadership.
+func (r *controlRole) followLeader(ctx context.Context) error {
+	updates, end := r.catalog.Subscribe()
+	defer end()
+	var leader consensus.MemberID
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case u := <-updates:
+			if u.Leader == leader {
+				continue
+			}
+			leader = u.Leader
+			r.process.events.Record(timeline.Event{Kind: timeline.KindLeader, Detail: string(leader)})
+		}
+	}
+}
+
+// leave hands leadership over, so that no election has to time out.
+func (r *controlRole) leave(ctx context.Context) {
+	for _, n := range []*node.Node{r.catalog, r.bindings} {
+		handOver(ctx, n)
+	}
+}
+
+// handOver asks another reachable voter to lead, if this member does.
+func handOver(ctx context.Context, n *node.Node) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	status := n.Status()
+	if status.Role != consensus.Leader {
+		return
+	}
+	for _, p := range status.Progress {
+		if p.ID != status.ID && p.Active && status.Membership.Voter(p.ID) {
+			if n.TransferLeadership(ctx, p.ID) == nil {
+				waitForLeader(ctx, n, status.ID)
+				return
+			}
+		}
+	}
+}
+
+// waitForLeader returns when another member leads or ctx ends.
+func waitForLeader(ctx context.Context, n *node.Node, self consensus.MemberID) {
+	updates, end := n.Subscribe()
+	defer end()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-updates:
+			if u.Leader != "" && u.Leader != self {
+				return
+			}
+		}
+	}
+}
+
+func (r *controlRole) stop() {
+	for _, n := range []*node.Node{r.catalog, r.bindings} {
+		if n != nil {
+			n.Stop()
+		}
+	}
+	if r.transport != nil {
+		r.transport.Close()
+	}
+	if r.directory != nil {
+		_ = r.directory.Close()
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -8,17 +8,15 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-
-	"github.com/plantainseam/plantainseam/internal/model"
 )
 
-// New returns a logger that writes logfmt lines with time, process and level. minimum is debug, info, warn or error.
-func New(w io.Writer, process model.HostRef, minimum string) (log.Logger, error) {
+// New returns a logger that writes logfmt lines with time and level. minimum is debug, info, warn or error.
+func New(w io.Writer, minimum string) (log.Logger, error) {
 	option, err := level.Parse(minimum)
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", minimum, err)
 	}
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
 	logger = level.NewFilter(logger, level.Allow(option))
-	return log.With(logger, "time", log.TimestampFormat(time.Now, time.RFC3339Nano), "process", process.String()), nil
+	return log.With(logger, "time", log.TimestampFormat(time.Now, time.RFC3339Nano)), nil
 }
