Test flow machines under random schedules

Cause: ownership rules fail only under particular orders of packets, messages, configurations and restarts.

--- /dev/null
+++ b/internal/flow/property_test.go
@@ -0,0 +1,277 @@
+package flow_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/plantainseam/plantainseam/internal/flow"
+	"github.com/plantainseam/plantainseam/internal/model"
+)
+
+var hosts = []model.HostID{"h1", "h2", "h3", "h4"}
+
+// schedule drives a network with random steps.
+type schedule struct {
+	*network
+	rt      *rapid.T
+	callers []*caller
+	delayed []parcel
+}
+
+// Guards against schedules of packets, lost, repeated and reordered messages, uneven configurations, crashes and
+// restarts under which a flow gets two owners, a live flow is reset, or a packet reaches a wrong connection.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := &schedule{network: newNetwork(rt, 2, hosts...), rt: rt}
+		steps := []func(){
+			s.newFlow, s.newFlow, s.talkSome, s.talkSome, s.talkSome, s.delayPacket, s.delayPacket, s.repeatPacket,
+			s.releaseDelayed, s.releaseDelayed, s.flushLossy, s.flushLossy, s.flush, s.flush, s.tickSome, s.tickSome,
+			s.changeState, s.applySome, s.applySome, s.applyEntry, s.toggleAccept, s.crashOne, s.closeSome, s.removeOrAdd,
+		}
+		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			steps[s.pick(len(steps), "step")]()
+		}
+		s.heal()
+	})
+}
+
+func (s *schedule) pick(n int, label string) int { return rapid.IntRange(0, n-1).Draw(s.rt, label) }
+
+func (s *schedule) host() model.HostID { return hosts[s.pick(len(hosts), "host")] }
+
+// newFlow opens one of a few flows, so that many packets of one flow are under way. An ended flow's port is used again.
+func (s *schedule) newFlow() {
+	i := s.pick(6, "flow")
+	for j, c := range s.callers {
+		if c.key == callerKey(i) {
+			if !c.ended {
+				return
+			}
+			s.callers = slices.Delete(s.callers, j, j+1)
+			break
+		}
+	}
+	c := &caller{key: callerKey(i)}
+	s.callers = append(s.callers, c)
+	s.talk(c, s.pick(len(s.entries), "entry"))
+}
+
+func (s *schedule) talkSome() {
+	if len(s.callers) == 0 {
+		return
+	}
+	c := s.callers[s.pick(len(s.callers), "caller")]
+	if c.ended {
+		return
+	}
+	if s.pick(2, "answered") == 0 {
+		s.update(c)
+	}
+	s.talk(c, s.pick(len(s.entries), "entry"))
+}
+
+// packets returns the positions of callers' packets in the queue.
+func (s *schedule) packets() (at []int) {
+	for i, d := range s.queue {
+		if d.packet != nil {
+			at = append(at, i)
+		}
+	}
+	return at
+}
+
+// delayPacket keeps one packet back.
+func (s *schedule) delayPacket() {
+	if at := s.packets(); len(at) > 0 {
+		i := at[s.pick(len(at), "packet")]
+		s.delayed = append(s.delayed, s.queue[i])
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+}
+
+// repeatPacket keeps a copy of one packet back.
+func (s *schedule) repeatPacket() {
+	if at := s.packets(); len(at) > 0 {
+		s.delayed = append(s.delayed, s.queue[at[s.pick(len(at), "packet")]])
+	}
+}
+
+// releaseDelayed delivers one of the packets that were kept back.
+func (s *schedule) releaseDelayed() {
+	if len(s.delayed) > 0 {
+		i := s.pick(len(s.delayed), "delayed")
+		s.queue = append([]parcel{s.delayed[i]}, s.queue...)
+		s.delayed = slices.Delete(s.delayed, i, i+1)
+		s.deliver(0, false)
+	}
+}
+
+// flushLossy delivers part of the queue in random order and loses, repeats or delays some of it.
+func (s *schedule) flushLossy() {
+	for range s.pick(30, "count") {
+		if len(s.queue) == 0 {
+			return
+		}
+		i := s.pick(min(len(s.queue), 8), "parcel")
+		switch s.pick(8, "fate") {
+		case 0:
+			s.queue = slices.Delete(s.queue, i, i+1)
+		case 1:
+			s.deliver(i, true)
+		case 2:
+			s.delayed = append(s.delayed, s.queue[i])
+			s.queue = slices.Delete(s.queue, i, i+1)
+		default:
+			s.deliver(i, false)
+		}
+	}
+}
+
+// toggleAccept makes a host refuse new flows, as without a lease, so that homes assign to others.
+func (s *schedule) toggleAccept() {
+	h := s.host()
+	l := s.agents[h].local
+	l.AcceptNew = !l.AcceptNew
+	s.setLocal(h, l)
+}
+
+// removeOrAdd removes a host without flows whose draining state is in force everywhere, or adds a removed one again.
+func (s *schedule) removeOrAdd() {
+	h := s.host()
+	member, ok := s.configs[s.newest()].Services[serviceID].Member(h)
+	if !ok {
+		s.change(func(_ *model.Snapshot, svc *model.Service) {
+			svc.Members = append(svc.Members, model.Member{Host: h, State: model.UpstreamActive})
+		})
+		return
+	}
+	if member.State != model.UpstreamDraining || len(s.agents[h].conns) > 0 {
+		return
+	}
+	for _, a := range s.agents {
+		if a.alive && a.revision < s.newest() {
+			return
+		}
+	}
+	s.change(func(_ *model.Snapshot, svc *model.Service) {
+		svc.Members = slices.DeleteFunc(svc.Members, func(m model.Member) bool { return m.Host == h })
+	})
+}
+
+func (s *schedule) tickSome() {
+	for range 1 + s.pick(10, "ticks") {
+		s.tick()
+	}
+}
+
+// changeState drains a host or returns it to service, but keeps one host active.
+func (s *schedule) changeState() {
+	h := s.host()
+	svc := s.configs[s.newest()].Services[serviceID]
+	member, _ := svc.Member(h)
+	active := 0
+	for _, m := range svc.Members {
+		if m.State == model.UpstreamActive {
+			active++
+		}
+	}
+	switch {
+	case member.State == model.UpstreamDraining:
+		s.state(h, model.UpstreamActive)
+	case member.State == model.UpstreamActive && active > 1:
+		s.state(h, model.UpstreamDraining)
+	}
+}
+
+func (s *schedule) applySome() {
+	h := s.host()
+	if a := s.agents[h]; a.alive {
+		s.apply(h, min(s.newest(), a.revision+1+s.pick(3, "skip")))
+	}
+}
+
+func (s *schedule) applyEntry() {
+	e := s.pick(len(s.entries), "entry")
+	s.entries[e] = min(s.newest(), s.entries[e]+1)
+}
+
+func (s *schedule) closeSome() {
+	if len(s.callers) == 0 {
+		return
+	}
+	c := s.callers[s.pick(len(s.callers), "caller")]
+	s.update(c)
+	if c.established && !c.ended {
+		s.close(c)
+	}
+}
+
+// crashOne stops a host and either restarts it or has it declared lost; a lost host restarts on the next call.
+func (s *schedule) crashOne() {
+	h := s.host()
+	_, member := s.configs[s.newest()].Services[serviceID].Member(h)
+	switch {
+	case !member:
+	case !s.agents[h].alive:
+		s.restart(h)
+		s.state(h, model.UpstreamActive)
+	case s.pick(2, "restart") == 0:
+		s.restart(h)
+	case s.activeOthers(h) > 0:
+		s.crash(h)
+		s.state(h, model.UpstreamLost)
+	}
+}
+
+func (s *schedule) activeOthers(h model.HostID) int {
+	n := 0
+	for _, m := range s.configs[s.newest()].Services[serviceID].Members {
+		if m.Host != h && m.State == model.UpstreamActive {
+			n++
+		}
+	}
+	return n
+}
+
+// heal ends the faults and checks that every flow whose owner lives is still reachable.
+func (s *schedule) heal() {
+	for _, h := range hosts {
+		s.setLocal(h, flow.Local{AcceptNew: true})
+	}
+	s.flush()
+	s.applyAll()
+	s.run(4 * time.Second)
+	for _, c := range s.callers {
+		s.update(c)
+		owner := s.agents[c.owner.Host]
+		if c.ended || !c.established || !owner.alive || owner.ref != c.owner {
+			continue
+		}
+		if _, open := owner.conns[c.key]; !open {
+			continue
+		}
+		for e := range s.entries {
+			if !s.reaches(c, e) {
+				s.t.Fatalf("flow %s does not reach its owner %s", c.key, c.owner)
+			}
+		}
+	}
+	for i := range 3 {
+		if c := s.connectHealed(i); !c.established {
+			s.t.Fatalf("new flow %s is not accepted", c.key)
+		}
+	}
+}
+
+// connectHealed opens a new flow with one retransmission of the SYN.
+func (s *schedule) connectHealed(i int) *caller {
+	c := s.connect(1000+i, 0)
+	if !c.established {
+		s.run(time.Second)
+		c = s.connect(1000+i, 0)
+	}
+	return c
+}
