Correct flow assignment by the median load per flow and add flow benchmarks

The host that reports no load lowered the mean load per flow, all other hosts looked overloaded, and it carried 11% more flows than they did. Change: loads per flow are compared with their median, and a load below half of it is ignored. Conclusion: one host that reports nothing no longer attracts flows.

--- a/internal/flow/assign.go
+++ b/internal/flow/assign.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/model"
@@ -21,8 +22,8 @@
 	// keepMargin is how far a home's own load may exceed the mean before it assigns flows to others. Each assigned flow
 	// costs a hop per packet and a redirect.
 	keepMargin = 0.01
-	// Limits of the influence of a reported load. Reports may be stale or wrong: a host that reports too little gains at
-	// most 2% more flows than the mean, one that reports too much loses at most 8%.
+	// Limits of the influence of a reported load, which may be stale or wrong. A host that reports too little gains at
+	// most 2% of flows, one that reports too much loses at most 8%.
 	minLoadFactor = 0.98
 	maxLoadFactor = 1.08
 )
@@ -107,25 +108,46 @@
 // score sets the scores and returns their mean, weighted by the hosts' weights. Flow counts come from the agents and are
 // exact. The reported load per flow only corrects them within limits.
 func score(shares []share) float64 {
-	var flows, load, weight float64
-	for _, s := range shares {
-		flows += s.flows
-		load += s.load * s.weight
-		weight += s.weight
-	}
-	total := 0.0
+	median := medianLoad(shares)
+	var total, weight float64
 	for i := range shares {
 		s := &shares[i]
-		s.score = s.flows / s.weight
-		if s.flows > 0 && load > 0 {
-			perFlow := s.load * s.weight / s.flows / (load / flows)
-			s.score *= min(max(perFlow, minLoadFactor), maxLoadFactor)
-		}
+		s.score = s.flows / s.weight * loadFactor(s.loadPerFlow(), median)
 		total += s.score * s.weight
+		weight += s.weight
 	}
 	return total / weight
 }
 
+// loadPerFlow returns the reported load of one flow relative to the size of the host.
+func (s *share) loadPerFlow() float64 {
+	if s.flows <= 0 {
+		return 0
+	}
+	return s.load * s.weight / s.flows
+}
+
+// medianLoad returns the median load per flow. The mean would let one host that reports no load make all others look
+// overloaded: that host then carried 11% more than the mean.
+func medianLoad(shares []share) float64 {
+	var buf [32]float64
+	loads := buf[:0]
+	for i := range shares {
+		loads = append(loads, shares[i].loadPerFlow())
+	}
+	slices.Sort(loads)
+	return loads[len(loads)/2]
+}
+
+// loadFactor returns the correction of a flow count by the load per flow. A load below half of the median is not
+// credible for a host with many flows and is ignored.
+func loadFactor(perFlow, median float64) float64 {
+	if median <= 0 || perFlow < median/2 {
+		return 1
+	}
+	return min(max(perFlow/median, minLoadFactor), maxLoadFactor)
+}
+
 // canAccept reports whether the agent may own another flow.
 func (m *machine) canAccept(svc *service) bool {
 	return m.refusal(svc) == result.OK
--- /dev/null
+++ b/internal/flow/bench_test.go
@@ -0,0 +1,249 @@
+package flow_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/plantainseam/plantainseam/internal/flow"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/routing"
+)
+
+// soloMachine returns a machine that is the only member of a service.
+func soloMachine(maxFlows int) flow.Machine {
+	s := model.NewSnapshot()
+	s.Revision = 1
+	s.Services[serviceID] = &model.Service{
+		ID: serviceID, Seed: 99, Generation: 1,
+		Members: []model.Member{{Host: "h1", State: model.UpstreamActive}},
+	}
+	ref := model.HostRef{Host: "h1", Incarnation: 1}
+	s.Upstreams["h1"] = &model.Upstream{Ref: ref, Slots: 3, MaxConnections: maxFlows}
+	m := flow.New(flow.Config{Self: ref, Seed: 11, MaxHalfOpen: 64})
+	m.Apply(start, s, routing.Build(s), nil)
+	m.SetLocal(flow.Local{AcceptNew: true})
+	return m
+}
+
+func benchKey(i int) model.FlowKey {
+	addr := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+	return model.FlowKey{Service: serviceID, Caller: netip.AddrPortFrom(addr, uint16(1024+i%50000))}
+}
+
+// establish opens n flows.
+func establish(tb testing.TB, m flow.Machine, n int) {
+	var out []flow.Action
+	for i := range n {
+		p := flow.Packet{Key: benchKey(i), Flags: flow.FlagSYN, Generation: 1}
+		if out = m.Packet(start, p, out[:0]); out[0].Kind != flow.ActionDeliver {
+			tb.Fatalf("flow %d: action %d, code %s", i, out[0].Kind, out[0].Code)
+		}
+		m.Established(p.Key)
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
+
+// bytesPerFlow measures the heap that n owned flows need.
+func bytesPerFlow(tb testing.TB, n int) float64 {
+	m := soloMachine(n)
+	before := heapInUse()
+	establish(tb, m, n)
+	after := heapInUse()
+	runtime.KeepAlive(m)
+	return float64(after-before) / float64(n)
+}
+
+// BenchmarkFlowTable reports the memory and the packet cost of owned flows.
+func BenchmarkFlowTable(b *testing.B) {
+	small := bytesPerFlow(b, 1000)
+	for _, n := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("flows=%d", n), func(b *testing.B) {
+			perFlow := bytesPerFlow(b, n)
+			m := soloMachine(n)
+			establish(b, m, n)
+			packets := make([]flow.Packet, 1024)
+			for i := range packets {
+				packets[i] = flow.Packet{Key: benchKey(i * 7919 % n), Generation: 1}
+			}
+			out := make([]flow.Action, 0, 4)
+			const batch = 1 << 17 // packets per iteration; one alone is too short to measure
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				for i := range batch {
+					out = m.Packet(start, packets[i%len(packets)], out[:0])
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/packet")
+			b.ReportMetric(perFlow, "B/flow")
+			if n == 100000 {
+				b.ReportMetric(perFlow/small, "growth")
+			}
+		})
+	}
+}
+
+// Guards against allocations in the path of owned flows, which would load the collector with every packet.
+func TestOwnedPacketsDoNotAllocate(t *testing.T) {
+	m := soloMachine(1000)
+	establish(t, m, 1000)
+	p := flow.Packet{Key: benchKey(17), Generation: 1}
+	out := make([]flow.Action, 0, 4)
+	if allocs := testing.AllocsPerRun(1000, func() { out = m.Packet(start, p, out[:0]) }); allocs != 0 {
+		t.Fatalf("an owned packet allocates %v times", allocs)
+	}
+}
+
+// workload is a service in BenchmarkBalance.
+type workload struct {
+	name     string
+	rate     float64       // new flows a second over all hosts
+	lifetime time.Duration // mean
+	sigma    float64       // of the lognormal work of a flow
+}
+
+// BenchmarkBalance reports peak/mean of the work over seven upstreams of which one starts cold and one misreports its
+// load, and as the baseline the same flows placed by plain hashing.
+func BenchmarkBalance(b *testing.B) {
+	for _, w := range []workload{
+		{name: "khuree", rate: 220, lifetime: 40 * time.Second, sigma: 0.8},
+		{name: "comhar", rate: 70, lifetime: 120 * time.Second, sigma: 1.0},
+	} {
+		b.Run(w.name, func(b *testing.B) {
+			var balanced, plain float64
+			for range b.N {
+				balanced, plain = newBalance(b, w).run()
+			}
+			b.ReportMetric(balanced, "peak/mean")
+			b.ReportMetric(plain, "baseline-peak/mean")
+		})
+	}
+}
+
+// balance is a run of one workload.
+type balance struct {
+	*network
+	workload
+	rng     *rand.Rand
+	hosts   []model.HostID
+	live    []*worker
+	next    int
+	elapsed time.Duration
+}
+
+// worker is a flow with the work that it gives its upstream.
+type worker struct {
+	*caller
+	work float64
+	home model.HostID
+	end  time.Time
+}
+
+func newBalance(tb testing.TB, w workload) *balance {
+	hosts := []model.HostID{"u1", "u2", "u3", "u4", "u5", "u6", "u7"}
+	return &balance{
+		network: newNetwork(tb, 3, hosts...), workload: w, hosts: hosts, rng: rand.New(rand.NewPCG(20261204, 1)),
+	}
+}
+
+// run fills the service for four lifetimes and measures for one more. The first host is cold for half a lifetime. The
+// last host always reports no load.
+func (x *balance) run() (balanced, plain float64) {
+	x.setLocal(x.hosts[0], flow.Local{AcceptNew: true, Cold: true})
+	warm, measure, end := x.lifetime/2, 4*x.lifetime, 5*x.lifetime
+	sum, sumPlain := map[model.HostID]float64{}, map[model.HostID]float64{}
+	for x.elapsed = 0; x.elapsed < end; x.elapsed += flow.TickInterval {
+		x.step(x.elapsed < warm)
+		if x.elapsed >= measure {
+			for _, f := range x.live {
+				sum[f.owner.Host] += f.work
+				sumPlain[f.home] += f.work
+			}
+		}
+	}
+	return x.peak(sum), x.peak(sumPlain)
+}
+
+// step starts and ends flows and reports loads for one tick.
+func (x *balance) step(cold bool) {
+	for range x.poisson(x.rate * flow.TickInterval.Seconds()) {
+		x.arrive()
+	}
+	kept := x.live[:0]
+	for _, f := range x.live {
+		if x.now.Before(f.end) {
+			kept = append(kept, f)
+			continue
+		}
+		x.close(f.caller)
+	}
+	x.live = kept
+	if x.elapsed%(500*time.Millisecond) == 0 {
+		x.report(cold)
+	}
+	x.flush()
+	x.tick()
+}
+
+func (x *balance) arrive() {
+	c := &caller{key: benchKey(x.next)}
+	x.next++
+	entry := x.next % len(x.entries)
+	x.send(c, entry, flow.FlagSYN)
+	x.flush()
+	x.update(c)
+	if !c.established {
+		x.t.Fatalf("flow %s is not accepted", c.key)
+	}
+	x.send(c, entry, 0)
+	x.flush()
+	home, _ := x.tables[x.newest()].Home(serviceID, routing.Bucket(99, c.key.Caller))
+	life := time.Duration(x.rng.ExpFloat64() * float64(x.lifetime))
+	x.live = append(x.live, &worker{
+		caller: c, work: math.Exp(x.rng.NormFloat64() * x.sigma), home: home, end: x.now.Add(life),
+	})
+}
+
+// report sets the hosts' loads from the work of their flows.
+func (x *balance) report(cold bool) {
+	load := map[model.HostID]float64{}
+	for _, f := range x.live {
+		load[f.owner.Host] += f.work / 1000
+	}
+	load[x.hosts[len(x.hosts)-1]] = 0
+	for i, h := range x.hosts {
+		x.setLocal(h, flow.Local{AcceptNew: true, Load: load[h], Cold: cold && i == 0})
+	}
+}
+
+func (x *balance) poisson(mean float64) int {
+	n, p, limit := 0, 1.0, math.Exp(-mean)
+	for {
+		if p *= x.rng.Float64(); p < limit {
+			return n
+		}
+		n++
+	}
+}
+
+// peak returns the highest over the mean work of the hosts.
+func (x *balance) peak(work map[model.HostID]float64) float64 {
+	total, highest := 0.0, 0.0
+	for _, h := range x.hosts {
+		total += work[h]
+		highest = max(highest, work[h])
+	}
+	return highest / (total / float64(len(x.hosts)))
+}
