--- a/internal/flow/wire/wire.go
+++ b/internal/flow/wire/wire.go
@@ -242,7 +242,11 @@
 		callers = append(callers, callerOf(netip.AddrFrom4([4]byte(v4)), v4[4:]))
 	}
 	for ; len(v6) > 0; v6 = v6[sizeV6:] {
-		callers = append(callers, callerOf(netip.AddrFrom16([16]byte(v6)).Unmap(), v6[16:]))
+		addr := netip.AddrFrom16([16]byte(v6))
+		if addr.Is4In6() {
+			return nil, fmt.Errorf("caller %s is an IPv4 address among IPv6 ones", addr)
+		}
+		callers = append(callers, callerOf(addr, v6[16:]))
 	}
 	return callers, nil
 }
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,196 @@
+package routing_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/routing"
+)
+
+// snapshot returns services with six hosts each.
+func snapshot(services int) *model.Snapshot {
+	s := model.NewSnapshot()
+	s.Revision = 1
+	for i := range services {
+		svc := &model.Service{
+			ID: model.ServiceID(i + 1), Seed: uint64(i) * 0x9e3779b97f4a7c15, Generation: 1,
+			Frontend: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 80),
+		}
+		for j := range 6 {
+			host := model.HostID(fmt.Sprintf("u%d", i*5+j))
+			svc.Members = append(svc.Members, model.Member{Host: host, State: model.UpstreamActive})
+			s.Upstreams[host] = &model.Upstream{Ref: model.HostRef{Host: host, Incarnation: 1}, Slots: 3}
+		}
+		s.Services[svc.ID] = svc
+	}
+	return s
+}
+
+// edit returns a copy in which one member of service 1 has another state or size.
+func edit(s *model.Snapshot, host int, state model.UpstreamState, slots int) *model.Snapshot {
+	c := s.Clone()
+	c.Revision++
+	svc := *c.Services[1]
+	svc.Members = append([]model.Member(nil), svc.Members...)
+	svc.Members[host].State = state
+	svc.Generation = c.Revision
+	c.Services[1] = &svc
+	up := *c.Upstreams[svc.Members[host].Host]
+	up.Slots = slots
+	c.Upstreams[up.Ref.Host] = &up
+	return c
+}
+
+// Guards against a reused table that differs from one built anew: processes with another history would then disagree
+// about homes.
+func TestBuildFromEqualsBuild(t *testing.T) {
+	g := NewWithT(t)
+	before := snapshot(20)
+	for _, after := range []*model.Snapshot{
+		edit(before, 2, model.UpstreamDraining, 3),
+		edit(before, 2, model.UpstreamLost, 3),
+		edit(before, 2, model.UpstreamActive, 6),
+	} {
+		fresh, reused := routing.Build(after), routing.BuildFrom(routing.Build(before), after)
+		g.Expect(reused.Revision()).To(Equal(after.Revision))
+		for id := range after.Services {
+			for b := range uint32(routing.Buckets) {
+				g.Expect(reused.Candidates(id, b)).To(Equal(fresh.Candidates(id, b)))
+			}
+		}
+	}
+}
+
+// Guards against buckets that move although their home stays, which would break flows for nothing.
+func TestOnlyBucketsOfTheChangedHostMove(t *testing.T) {
+	g := NewWithT(t)
+	before := snapshot(1)
+	changed := before.Services[1].Members[2].Host
+	old, drained := routing.Build(before), routing.Build(edit(before, 2, model.UpstreamDraining, 3))
+	moved := 0
+	for b := range uint32(routing.Buckets) {
+		was, _ := old.Home(1, b)
+		is, ok := drained.Home(1, b)
+		g.Expect(ok).To(BeTrue())
+		if was != changed {
+			g.Expect(is).To(Equal(was))
+			continue
+		}
+		moved++
+		g.Expect(drained.Candidates(1, b)[1]).To(Equal(changed), "the earlier home is the second candidate")
+		g.Expect(is).To(Equal(old.Candidates(1, b)[1]), "the second-ranked upstream becomes the home")
+	}
+	g.Expect(moved).To(BeNumerically(">", 0))
+}
+
+// Guards against hosts that get more or fewer buckets than their slots justify.
+func TestWeights(t *testing.T) {
+	g := NewWithT(t)
+	s := edit(snapshot(1), 2, model.UpstreamActive, 9)
+	counts := map[model.HostID]int{}
+	const seeds = 40
+	for seed := range uint64(seeds) {
+		svc := *s.Services[1]
+		svc.Seed = seed
+		s.Services[1] = &svc
+		table := routing.Build(s)
+		for b := range uint32(routing.Buckets) {
+			home, _ := table.Home(1, b)
+			counts[home]++
+		}
+	}
+	total := seeds * routing.Buckets
+	for i, m := range s.Services[1].Members {
+		want := total * 3 / 24
+		if i == 2 {
+			want = total * 9 / 24
+		}
+		g.Expect(counts[m.Host]).To(BeNumerically("~", want, total/50))
+	}
+}
+
+// Guards against candidate lists that exceed the routing header or name a lost upstream as home.
+func TestCandidates(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		states []model.UpstreamState
+		home   bool
+	}{
+		{"one active", []model.UpstreamState{3, 3, 3, 2, 2, 1}, true},
+		{"none active", []model.UpstreamState{3, 3, 2, 2, 2, 2}, true},
+		{"all lost", []model.UpstreamState{3, 3, 3, 3, 3, 3}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := snapshot(1)
+			for i, state := range c.states {
+				s.Services[1].Members[i].State = state
+			}
+			table := routing.Build(s)
+			for b := range uint32(routing.Buckets) {
+				home, ok := table.Home(1, b)
+				g.Expect(ok).To(Equal(c.home))
+				candidates := table.Candidates(1, b)
+				g.Expect(len(candidates)).To(BeNumerically("<=", routing.MaxCandidates))
+				if ok {
+					g.Expect(candidates[0]).To(Equal(home))
+					m, _ := s.Services[1].Member(home)
+					g.Expect(m.State).NotTo(Equal(model.UpstreamLost))
+				}
+			}
+		})
+	}
+}
+
+// Guards against a frontend that is found under one form of its address only, and against callers that hash differently.
+func TestMappedAddresses(t *testing.T) {
+	g := NewWithT(t)
+	s := snapshot(3)
+	table := routing.Build(s)
+	mapped := netip.AddrPortFrom(netip.AddrFrom16(s.Services[2].Frontend.Addr().As16()), 80)
+	svc, ok := table.Lookup(mapped)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(svc).To(BeIdenticalTo(s.Services[2]))
+	_, ok = table.Lookup(netip.AddrPortFrom(mapped.Addr(), 81))
+	g.Expect(ok).To(BeFalse())
+	g.Expect(routing.Bucket(5, mapped)).To(Equal(routing.Bucket(5, s.Services[2].Frontend)))
+	g.Expect(table.Candidates(99, 0)).To(BeNil())
+}
+
+// BenchmarkBuild builds the tables of 1,100 services with six hosts each, and rebuilds them after a change of one.
+func BenchmarkBuild(b *testing.B) {
+	before := snapshot(1100)
+	after := edit(before, 2, model.UpstreamDraining, 3)
+	b.Run("all", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			routing.Build(before)
+		}
+	})
+	b.Run("one-changed", func(b *testing.B) {
+		table := routing.Build(before)
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			routing.BuildFrom(table, after)
+		}
+	})
+	b.Run("lookup", func(b *testing.B) {
+		table := routing.Build(before)
+		dst, caller := before.Services[500].Frontend, netip.MustParseAddrPort("127.4.3.2:4000")
+		const batch = 1 << 16 // lookups per iteration; one alone is too short to measure
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			for range batch {
+				svc, _ := table.Lookup(dst)
+				table.Candidates(svc.ID, routing.Bucket(svc.Seed, caller))
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/lookup")
+	})
+}
