--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"bytes"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/gopacket"
+	"github.com/google/gopacket/layers"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/internal/routing"
+	"github.com/plantainseam/plantainseam/internal/tunnel"
+	"github.com/plantainseam/plantainseam/internal/udp"
+)
+
+var frontend = netip.MustParseAddrPort("10.9.0.1:80")
+
+// testKeys returns a ring with one key.
+func testKeys(t testing.TB, id uint8) *tunnel.KeyRing {
+	t.Helper()
+	ring, err := tunnel.NewKeyRing(tunnel.Key{ID: id, Secret: bytes.Repeat([]byte{id}, tunnel.MinSecretLen)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring
+}
+
+func newTestEntry(t testing.TB, cfg Config) *Entry {
+	t.Helper()
+	cfg.Listen = netip.MustParseAddrPort("127.0.0.1:0")
+	cfg.Keys = testKeys(t, 1)
+	e, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.Close() })
+	return e
+}
+
+// publish applies a configuration with one service whose only upstream is u1 at the given address.
+func publish(e *Entry, revision model.Revision, upstream netip.AddrPort) {
+	s := model.NewSnapshot()
+	s.Revision = revision
+	members := []model.Member{{Host: "u1", State: model.UpstreamActive}}
+	s.Services[7] = &model.Service{ID: 7, Name: "pages", Frontend: frontend, Kind: model.KindStream, Seed: 3,
+		Generation: revision, Members: members}
+	if upstream.IsValid() {
+		s.Upstreams["u1"] = &model.Upstream{Ref: model.HostRef{Host: "u1", Incarnation: 1}, Tunnel: upstream, Slots: 3}
+	}
+	e.Apply(s, routing.Build(s))
+}
+
+// innerPacket returns a caller's packet to the given port of the frontend address.
+func innerPacket(srcPort, dstPort uint16, payload int) []byte {
+	ip := &layers.IPv4{Version: 4, TTL: 64, Protocol: layers.IPProtocolTCP,
+		SrcIP: net.IPv4(10, 1, 0, 1).To4(), DstIP: net.IPv4(10, 9, 0, 1).To4()}
+	tcp := &layers.TCP{SrcPort: layers.TCPPort(srcPort), DstPort: layers.TCPPort(dstPort), ACK: true}
+	_ = tcp.SetNetworkLayerForChecksum(ip)
+	buf := gopacket.NewSerializeBuffer()
+	opts := gopacket.SerializeOptions{FixLengths: true, ComputeChecksums: true}
+	if err := gopacket.SerializeLayers(buf, opts, ip, tcp, gopacket.Payload(make([]byte, payload))); err != nil {
+		panic(err)
+	}
+	return buf.Bytes()
+}
+
+// outerPacket returns a caller's packet as the fabric sends it.
+func outerPacket(srcPort uint16, payload int) []byte {
+	return encapsulate(innerPacket(srcPort, 80, payload))
+}
+
+func encapsulate(inner []byte) []byte {
+	buf := append(make([]byte, tunnel.BaseLen), inner...)
+	return buf[tunnel.EncodePlain(buf, tunnel.BaseLen):]
+}
+
+// Guards against a packet that reaches the home agent without the service, generation and candidates of the
+// configuration, or with a changed inner packet.
+func TestForward(t *testing.T) {
+	for _, sockets := range []int{1, 3} {
+		g := NewWithT(t)
+		home := benchSocket(t)
+		e := newTestEntry(t, Config{Sockets: sockets})
+		publish(e, 5, udp.LocalAddr(home))
+		sender := benchSocket(t)
+		_, err := sender.WriteToUDPAddrPort(outerPacket(20001, 100), e.Addr())
+		g.Expect(err).NotTo(HaveOccurred())
+
+		buf := make([]byte, 2048)
+		size, _, err := home.ReadFromUDPAddrPort(buf)
+		g.Expect(err).NotTo(HaveOccurred())
+		var ring atomic.Pointer[tunnel.KeyRing]
+		ring.Store(testKeys(t, 1))
+		var h tunnel.Header
+		_, payload, code := tunnel.NewCodec(&ring).Open(buf[:size], &h)
+		g.Expect(code).To(Equal(result.OK))
+		g.Expect(payload).To(Equal(innerPacket(20001, 80, 100)))
+		g.Expect(h).To(Equal(tunnel.Header{Service: 7, Generation: 5, Count: 1,
+			Candidates: [4]tunnel.HostTag{tunnel.TagOf("u1")}}))
+		g.Eventually(e.Counters).Should(Equal(Counters{Forwarded: 1}))
+	}
+}
+
+// Guards against a packet being forwarded to a service that its destination does not name, and against drops that no
+// counter shows.
+func TestDrops(t *testing.T) {
+	home := netip.MustParseAddrPort("127.0.0.1:9")
+	for name, tc := range map[string]struct {
+		packet   []byte
+		upstream netip.AddrPort
+		want     Counters
+	}{
+		"other port":       {encapsulate(innerPacket(1, 81, 0)), home, Counters{UnknownService: 1}},
+		"longer than MTU":  {outerPacket(1, 600), home, Counters{Oversized: 1}},
+		"not Geneve":       {[]byte("x"), home, Counters{Malformed: 1}},
+		"inner not TCP":    {encapsulate([]byte("x")), home, Counters{Malformed: 1}},
+		"home not in view": {outerPacket(1, 0), netip.AddrPort{}, Counters{NoHome: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := newTestEntry(t, Config{MTU: 500})
+			publish(e, 1, tc.upstream)
+			sender := benchSocket(t)
+			_, err := sender.WriteToUDPAddrPort(tc.packet, e.Addr())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(e.Counters).Should(Equal(tc.want))
+		})
+	}
+}
+
+// Guards against a late answer of the control plane that reverts the configuration.
+func TestApplyIgnoresOlderRevision(t *testing.T) {
+	g := NewWithT(t)
+	e := newTestEntry(t, Config{})
+	publish(e, 5, netip.MustParseAddrPort("127.0.0.1:9"))
+	publish(e, 4, netip.MustParseAddrPort("127.0.0.1:9"))
+	g.Expect(e.Revision()).To(Equal(model.Revision(5)))
+}
+
+// Guards against allocations per packet, which would let the collector limit the packet rate.
+func TestForwardDoesNotAllocate(t *testing.T) {
+	g := NewWithT(t)
+	e := benchEntry(t, udp.LocalAddr(benchSocket(t)))
+	g.Expect(forwardAllocs(t, e, outerPacket(20001, 100))).To(BeZero())
+}
--- a/internal/tunnel/inner.go
+++ b/internal/tunnel/inner.go
@@ -51,7 +51,7 @@
 	if !ip.IsValid(len(packet)) || header.IPv6MinimumSize+int(ip.PayloadLength()) != len(packet) {
 		return Inner{}, result.TunnelMalformed
 	}
-	if ip.TransportProtocol() != header.TCPProtocolNumber {
+	if ip.NextHeader() != uint8(header.TCPProtocolNumber) {
 		return Inner{}, result.TunnelMalformed
 	}
 	src := netip.AddrFrom16([16]byte(packet[8:24]))
