--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -37,6 +37,11 @@
 // keep the flow as owned. A SYN beyond the limit of flows is answered with a reset, one beyond the limit of half-open
 // flows is dropped.
 func (l *packetLoop) deliver(now time.Time, p *flow.Packet) {
+	if !l.deliverable(p) {
+		l.agent.count.drop(result.FlowWrongService)
+		l.machine.Closed(now, p.Key)
+		return
+	}
 	err := l.agent.delivery.Deliver(p.Key, p.Raw)
 	if err == nil {
 		l.agent.count.delivered.Add(1)
--- /dev/null
+++ b/internal/agent/fault_test.go
@@ -0,0 +1,217 @@
+package agent_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/agent"
+	"github.com/plantainseam/plantainseam/internal/delivery"
+	"github.com/plantainseam/plantainseam/internal/flow"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/standin/backend"
+	"github.com/plantainseam/plantainseam/standin/fabric"
+	"github.com/plantainseam/plantainseam/standin/site"
+)
+
+// fastProbes shortens the search for silent flows.
+var fastProbes = delivery.Config{ProbeIdle: 300 * time.Millisecond, ProbeInterval: 200 * time.Millisecond,
+	SilentAfter: 2 * time.Second, SweepInterval: 100 * time.Millisecond}
+
+// Guards against a caller that waits for ever on a connection whose state a device in between has lost, and against
+// probes that end an idle flow whose caller is alive.
+func TestSilentFlowIsReset(t *testing.T) {
+	g := NewWithT(t)
+	s, flows := newLines(t, site.Options{Seed: 6, Delivery: fastProbes}, fabric.Faults{}, 12)
+	silent, idle := flows[0], flows[1:]
+	s.Fabric.Cut(silent.caller())
+	owner := s.Agent(model.HostID(silent.server))
+	g.Eventually(func() uint64 { return owner.Counters().Ended[result.FlowSilent] }, patience).Should(Equal(uint64(1)))
+	s.Fabric.Restore(silent.caller())
+	_, err := silent.ask()
+	g.Expect(err).To(MatchError(ContainSubstring("connection reset")))
+	checkAll(t, idle)
+}
+
+// Guards against the packets of a caller whose flow ended meanwhile being ignored.
+func TestAgentStopResetsFlows(t *testing.T) {
+	g := NewWithT(t)
+	s, flows := newLines(t, site.Options{Seed: 7}, fabric.Faults{}, 12)
+	g.Expect(s.StopAgent("u1")).To(Succeed())
+	for _, f := range flows {
+		err := f.check()
+		if f.server == "u1" {
+			g.Expect(err).To(MatchError(ContainSubstring("connection reset")))
+			continue
+		}
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// Guards against forged, damaged and foreign packets that reach a connection or disturb it, and against drops without a
+// count.
+func TestForgedPackets(t *testing.T) {
+	g := NewWithT(t)
+	s, flows := newLines(t, site.Options{Seed: 8}, fabric.Faults{}, 6)
+	conn, err := net.Dial("udp", s.Agent("u1").Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	for name, tc := range map[string]struct {
+		data []byte
+		want result.Code
+	}{
+		"noise":       {[]byte("not a tunnel packet"), result.TunnelMalformed},
+		"plain":       {append([]byte{0, 0, 8, 0, 0, 0, 0, 0}, make([]byte, 40)...), result.TunnelMalformed},
+		"unknown key": {sealed(t, 2, lines, "10.1.0.9:1", linesAddr), result.TunnelForged},
+		"cut off":     {sealed(t, 1, lines, "10.1.0.9:1", linesAddr)[:100], result.TunnelForged},
+		"address of another service": {sealed(t, 1, lines, "10.1.0.9:1", pagesAddr),
+			result.FlowWrongService},
+	} {
+		before := s.Agent("u1").Counters()
+		_, err = conn.Write(tc.data)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Eventually(func() uint64 { return s.Agent("u1").Counters().Dropped[tc.want] }, patience).
+			Should(Equal(before.Dropped[tc.want]+1), name)
+	}
+	checkAll(t, flows)
+}
+
+// Guards against a packet of a closed service being delivered to the service that got its address, and the other way
+// round.
+func TestReusedAddress(t *testing.T) {
+	g := NewWithT(t)
+	s, flows := newLines(t, site.Options{Seed: 9}, fabric.Faults{}, 9)
+	const successor model.ServiceID = 30
+	s.SetStale("e1", true)
+	s.RemoveService(lines)
+	other, err := backend.NewLines("successor")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer other.Close()
+	_, err = s.AddAgent("u9", map[model.ServiceID]netip.AddrPort{successor: other.Addr()})
+	g.Expect(err).NotTo(HaveOccurred())
+	s.AddService(model.Service{ID: successor, Name: "successor", Frontend: linesAddr, Kind: model.KindStream, Seed: 31})
+	s.SetMember(successor, "u9", model.UpstreamActive)
+
+	for _, f := range flows {
+		_, err := f.ask()
+		g.Expect(err).To(HaveOccurred(), "a flow of the closed service is never answered by its successor")
+	}
+	g.Expect(other.Total()).To(BeZero())
+	host, err := s.Caller("10.1.0.2")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(byServer(openLines(t, host, 9))).To(Equal(map[string]int{"successor": 9}), "also over the stale entry VM")
+}
+
+// Guards against a relay that loses the direction which is still open after a half-close.
+func TestHalfClose(t *testing.T) {
+	g := NewWithT(t)
+	_, flows := newLines(t, site.Options{Seed: 10}, fabric.Faults{}, 6)
+	f := flows[0]
+	_, err := fmt.Fprintln(f.conn, "last")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.conn.CloseWrite()).To(Succeed())
+	rest, err := io.ReadAll(f.in)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(rest)).To(Equal(f.server + " last\n"))
+}
+
+// Guards against a caller that takes the part received before an upstream failure for the complete answer.
+func TestUpstreamResetReachesCaller(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, site.Options{Seed: 11})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = conn.Write([]byte("part"))
+		time.Sleep(10 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	addr := netip.MustParseAddrPort(listener.Addr().String())
+	_, err = s.AddAgent("u1", map[model.ServiceID]netip.AddrPort{lines: addr})
+	g.Expect(err).NotTo(HaveOccurred())
+	s.SetMember(lines, "u1", model.UpstreamActive)
+	host, err := s.Caller("10.1.0.1")
+	g.Expect(err).NotTo(HaveOccurred())
+	conn, err := host.Dial(context.Background(), linesAddr)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = fmt.Fprintln(conn, "x")
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	_, err = io.ReadAll(conn)
+	g.Expect(err).To(MatchError(ContainSubstring("connection reset")))
+}
+
+// Guards against the connections of a request service bypassing the handler that gates its requests.
+func TestConnHandler(t *testing.T) {
+	g := NewWithT(t)
+	handler := func(svc *model.Service, key model.FlowKey, conn agent.Conn) result.Code {
+		_, _ = fmt.Fprintf(conn, "%s %s", svc.Name, key.Caller.Addr())
+		return result.OK
+	}
+	s := newSite(t, site.Options{Seed: 12, ConnHandler: handler})
+	const gated model.ServiceID = 40
+	addr := netip.MustParseAddrPort("10.9.0.4:80")
+	s.AddService(model.Service{ID: gated, Name: "gated", Frontend: addr, Kind: model.KindRequest, Seed: 41})
+	_, err := s.AddAgent("u1", map[model.ServiceID]netip.AddrPort{gated: addr})
+	g.Expect(err).NotTo(HaveOccurred())
+	s.SetMember(gated, "u1", model.UpstreamActive)
+	host, err := s.Caller("10.1.0.1")
+	g.Expect(err).NotTo(HaveOccurred())
+	conn, err := host.Dial(context.Background(), addr)
+	g.Expect(err).NotTo(HaveOccurred())
+	answer, err := io.ReadAll(conn)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(answer)).To(Equal("gated 10.1.0.1"))
+}
+
+// Guards against goroutines or handlers that outlive a stopped agent, and against a second Close that hangs.
+func TestCloseLeavesNoGoroutine(t *testing.T) {
+	g := NewWithT(t)
+	s, _ := newLines(t, site.Options{Seed: 13}, fabric.Faults{}, 9)
+	for _, host := range []model.HostID{"u1", "u2", "u3"} {
+		a := s.Agent(host)
+		g.Expect(s.StopAgent(host)).To(Succeed())
+		g.Expect(a.Close()).To(Succeed())
+		g.Expect(a.Flows()).To(BeEmpty())
+		a.SetLocal(flow.Local{})
+	}
+	g.Eventually(agentGoroutines, patience).Should(BeEmpty())
+}
+
+// agentGoroutines returns the stacks of goroutines that run code of an agent.
+func agentGoroutines() []string {
+	buf := make([]byte, 16<<20)
+	buf = buf[:runtime.Stack(buf, true)]
+	var found []string
+	for _, stack := range strings.Split(string(buf), "\n\n") {
+		if strings.Contains(stack, "internal/agent.(") || strings.Contains(stack, "internal/delivery.(") {
+			found = append(found, stack)
+		}
+	}
+	return found
+}
+
+// Guards against an agent that starts without the parts it depends on.
+func TestNewRefusesIncompleteConfig(t *testing.T) {
+	g := NewWithT(t)
+	_, err := agent.New(agent.Config{})
+	g.Expect(err).To(MatchError(ContainSubstring("needs tunnel keys")))
+	g.Expect(errors.Unwrap(err)).To(BeNil())
+}
--- a/internal/agent/packets.go
+++ b/internal/agent/packets.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"net/netip"
 	"time"
 
 	"gvisor.dev/gvisor/pkg/tcpip/header"
@@ -74,10 +75,16 @@
 	}
 }
 
-// install puts a configuration into use.
+// install puts a configuration into use. Flows of a service that was withdrawn are ended, because entry VMs do not
+// forward their packets any more and another service may get the address.
 func (l *packetLoop) install(v *view) {
 	l.view = v
 	l.agent.view.Store(v)
+	for _, key := range l.agent.flows.keys() {
+		if v.snapshot.Services[key.Service] == nil {
+			l.agent.delivery.Abort(key, result.FlowServiceClosing)
+		}
+	}
 }
 
 // setLocal passes the host's state to the machine.
@@ -137,23 +144,19 @@
 	l.execute(now)
 }
 
-// decode checks that the packet's destination is the frontend of the service in its header, and that the service is
-// registered at this host.
+// decode refuses a packet whose destination is not the frontend of the service in its header. A packet of a service that
+// this configuration does not have yet goes to the machine, which may hold it; deliver checks it again.
 func (l *packetLoop) decode(in *inbound) (flow.Packet, result.Code) {
 	inner, code := tunnel.ParseInner(in.payload)
 	if code != result.OK {
 		return flow.Packet{}, code
 	}
 	svc := l.view.snapshot.Services[in.header.Service]
-	if svc == nil || svc.Frontend != inner.Frontend {
-		l.fetchIfBehind(in.header.Generation)
-		return flow.Packet{}, result.FlowWrongService
-	}
-	if _, ok := l.agent.cfg.Upstream(svc); !ok {
+	if svc != nil && !sameAddress(svc.Frontend, inner.Frontend) {
 		return flow.Packet{}, result.FlowWrongService
 	}
 	packet := flow.Packet{
-		Key:        model.FlowKey{Service: svc.ID, Caller: inner.Caller},
+		Key:        model.FlowKey{Service: in.header.Service, Caller: inner.Caller},
 		Flags:      flagsOf(inner.Flags),
 		Generation: in.header.Generation,
 		Hops:       in.header.Hops,
@@ -168,13 +171,26 @@
 	return packet, result.OK
 }
 
-// fetchIfBehind asks for the configuration of a packet whose service this one lacks.
-func (l *packetLoop) fetchIfBehind(generation model.Revision) {
-	if generation > l.view.snapshot.Revision {
-		l.fetch()
+// deliverable checks a packet against this agent's own registration: its service is known, has the packet's destination
+// as frontend, and is carried by this host.
+func (l *packetLoop) deliverable(p *flow.Packet) bool {
+	svc := l.view.snapshot.Services[p.Key.Service]
+	if svc == nil {
+		return false
 	}
+	if _, ok := l.agent.cfg.Upstream(svc); !ok {
+		return false
+	}
+	inner, code := tunnel.ParseInner(p.Raw)
+	return code == result.OK && sameAddress(svc.Frontend, inner.Frontend) && inner.Caller == p.Key.Caller
+}
+
+// sameAddress compares addresses in either form of IPv4.
+func sameAddress(a, b netip.AddrPort) bool {
+	return a.Port() == b.Port() && a.Addr().Unmap() == b.Addr().Unmap()
 }
 
+// fetch asks for a newer configuration.
 func (l *packetLoop) fetch() {
 	if l.agent.cfg.Fetch != nil {
 		l.agent.cfg.Fetch()
