--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -168,10 +168,20 @@
 
 // Close ends the agent: it takes no new flows, ends all open ones with a reset, waits for their handlers and closes the
 // socket last, so that the resets reach the callers. Drain before Close interrupts nobody.
-func (a *Agent) Close() error {
+func (a *Agent) Close() error { return a.close(false) }
+
+// Abandon ends the agent without a reset or any other packet. It is for a process that learns that a newer incarnation
+// of its host has taken its place, whose flows the resets could end.
+func (a *Agent) Abandon() { _ = a.close(true) }
+
+// close ends the agent once. If silent, the socket is closed before the flows.
+func (a *Agent) close(silent bool) error {
 	var err error
 	a.closing.Do(func() {
 		a.flows.close()
+		if silent {
+			udp.Close(a.conns)
+		}
 		err = a.delivery.Close()
 		a.served.Wait()
 		close(a.stop)
--- a/internal/agent/lines_test.go
+++ b/internal/agent/lines_test.go
@@ -25,6 +25,7 @@
 	in     *bufio.Reader
 	server string // upstream that answered first
 	sent   int
+	wait   time.Duration // for an answer
 }
 
 // dialLines opens a connection and learns which upstream serves it.
@@ -35,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &lineFlow{conn: conn, in: bufio.NewReader(conn)}
+	f := &lineFlow{conn: conn, in: bufio.NewReader(conn), wait: patience}
 	server, err := f.ask()
 	f.server = server
 	return f, err
@@ -45,7 +46,7 @@
 func (f *lineFlow) ask() (string, error) {
 	f.sent++
 	line := fmt.Sprintf("line-%d", f.sent)
-	_ = f.conn.SetDeadline(time.Now().Add(patience))
+	_ = f.conn.SetDeadline(time.Now().Add(f.wait))
 	if _, err := fmt.Fprintln(f.conn, line); err != nil {
 		return "", err
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -268,6 +268,18 @@
 	return a.Close()
 }
 
+// CrashAgent ends an agent without a word to callers and other agents. Its entry in the configuration stays.
+func (s *Site) CrashAgent(host model.HostID) {
+	a := s.agents[host]
+	if a == nil {
+		return
+	}
+	s.mu.Lock()
+	delete(s.agents, host)
+	s.mu.Unlock()
+	a.Abandon()
+}
+
 // Caller starts a caller's machine with an address of its own.
 func (s *Site) Caller(addr string) (*caller.Host, error) {
 	ip, err := netip.ParseAddr(addr)
