--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -107,6 +107,11 @@
 	}
 	a.conns = conns
 	a.fabric = fabricOutput{conn: conns[0], to: cfg.Fabric, count: &a.count}
+	r, err := newReader(a, conns[0])
+	if err != nil {
+		udp.Close(conns)
+		return nil, fmt.Errorf("agent %s: %w", cfg.Ref, err)
+	}
 	d, err := cfg.NewDelivery(cfg.Delivery, a, &a.fabric)
 	if err != nil {
 		udp.Close(conns)
@@ -116,7 +121,7 @@
 	a.packets.Add(1)
 	go newPacketLoop(a).run()
 	a.readers.Add(1)
-	go a.read(conns[0])
+	go r.run()
 	return a, nil
 }
 
@@ -164,10 +169,20 @@
 
 // Close ends the agent: it takes no new flows, ends all open ones with a reset, waits for their handlers and closes the
 // socket last, so that the resets reach the callers. Drain before Close interrupts nobody.
-func (a *Agent) Close() error {
+func (a *Agent) Close() error { return a.close(false) }
+
+// Abandon ends the agent without a reset or any other packet. It is for a process that learns that a newer incarnation
+// of its host has taken its place, whose flows the resets could end.
+func (a *Agent) Abandon() { _ = a.close(true) }
+
+// close ends the agent once. If silent, the socket is closed before the flows.
+func (a *Agent) close(silent bool) error {
 	var err error
 	a.closing.Do(func() {
 		a.flows.close()
+		if silent {
+			udp.Close(a.conns)
+		}
 		err = a.delivery.Close()
 		a.served.Wait()
 		close(a.stop)
