--- a/internal/binding/client.go
+++ b/internal/binding/client.go
@@ -136,7 +136,7 @@
 		if err != nil {
 			return result.Internal, "", err
 		}
-		answer = decodeAnswer(resp)
+		answer = DecodeAnswer(resp)
 		return result.Code(resp.Code), resp.Leader, nil
 	})
 	if err != nil {
@@ -145,7 +145,8 @@
 	return answer, nil
 }
 
-func decodeAnswer(resp *bindpb.BindResponse) Answer {
+// DecodeAnswer reads the response of a control VM that applied a bind.
+func DecodeAnswer(resp *bindpb.BindResponse) Answer {
 	a := Answer{
 		Outcome: Outcome(resp.Outcome),
 		Owner:   model.HostRef{Host: model.HostID(resp.OwnerHost), Incarnation: model.Incarnation(resp.OwnerIncarnation)},
--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -202,9 +202,13 @@
 		// The process that ran it is gone without a recorded answer.
 		return &gatepb.JoinResponse{Held: true, Code: uint32(result.RequestOutcomeUnknown)}, nil
 	}
+	if len(r.Digest) != binding.HashSize {
+		return nil, twirp.NewError(twirp.InvalidArgument, "digest has a wrong length")
+	}
 	c := newCall(g.nextID(), model.ServiceID(r.Service))
 	defer close(c.gone)
-	a, err := g.wait(ctx, c, request.JoinAsked{ID: c.id, Service: c.service, Key: r.Key})
+	asked := request.JoinAsked{ID: c.id, Service: c.service, Key: r.Key, Digest: binding.Digest(r.Digest)}
+	a, err := g.wait(ctx, c, asked)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -70,10 +70,10 @@
 		return
 	}
 	switch {
-	case m.local.Draining:
-		m.admitDraining(w)
 	case w.expired(m.now):
 		m.refuse(w, result.RequestDeadlinePassed)
+	case m.local.Draining:
+		m.admitDraining(w)
 	case len(s.queue) >= s.queueLimit:
 		m.refuse(w, result.RequestQueueFull)
 	case m.tooLate(w, m.expectedWait(s)):
@@ -91,7 +91,7 @@
 		return
 	}
 	if w.bound {
-		m.releaseAndHandOver(w, result.RequestDraining)
+		m.releaseAndHandOver(w)
 		return
 	}
 	m.handOver(w)
--- a/internal/request/elsewhere.go
+++ b/internal/request/elsewhere.go
@@ -71,13 +71,14 @@
 		return
 	}
 	switch {
-	case e.Reached && e.Held:
+	case e.Reached && e.Held && !notRun(e.Code):
 		m.answerAll(w, e.Code, e.Answer, 0)
 		m.drop(w)
 	case e.Reached && w.ownerFinished:
 		m.endJoin(w)
 	default:
-		// The owner frees the key of a run it does not have; an owner that is not reached may be declared lost.
+		// The owner frees the key of a run that it refused or does not have; an owner that is not reached may be
+		// declared lost.
 		m.pause(w)
 	}
 }
@@ -98,6 +99,11 @@
 		}})
 		return
 	}
+	if w.Digest != e.Digest {
+		// The key was released and bound to another request since the other agent asked the log.
+		m.emit(Action{Kind: ActionAnswer, ID: e.ID})
+		return
+	}
 	switch w.state {
 	case stateFinishing, stateRetained:
 		m.emit(Action{Kind: ActionAnswer, ID: e.ID, Code: w.endCode(), Answer: w.answer, Held: true})
@@ -151,7 +157,7 @@
 	if w == nil || w.state != stateHanding {
 		return
 	}
-	if e.Reached && !declined(e.Code) {
+	if e.Reached && !(w.keyed() && notRun(e.Code)) && !declined(e.Code) {
 		m.answerAll(w, e.Code, e.Answer, 0)
 		m.drop(w)
 		return
@@ -167,6 +173,10 @@
 	m.begin(w)
 }
 
+// notRun tells whether a code is a refusal. The refusal of another agent holds for the time when it was given; another
+// send of the key may have run since. A keyed work therefore ends as refused only while its own attempt is bound.
+func notRun(code result.Code) bool { return code > 3000 && code < 3100 }
+
 // declined tells whether the other agent did not take the work at all.
 func declined(code result.Code) bool {
 	return code == result.RequestDraining || code == result.RequestNoUpstream
--- a/internal/request/machine.go
+++ b/internal/request/machine.go
@@ -286,10 +286,18 @@
 		return
 	}
 	w.handNext = false
-	w.bound = !e.Applied
-	if len(w.waiters) == 0 || w.expired(m.now) || !e.Applied || !m.handOver(w) {
-		m.refuse(w, w.code)
+	if len(w.waiters) == 0 {
+		m.drop(w)
+		return
+	}
+	if e.Applied && !w.expired(m.now) {
+		w.bound = false
+		if m.handOver(w) {
+			return
+		}
 	}
+	// The key may have been bound and run elsewhere since the release, so a refusal needs a new bind.
+	m.begin(w)
 }
 
 // drop forgets a work.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -63,15 +63,14 @@
 	}
 	if w.bound {
 		// The other agent can bind the key only after it is free here.
-		m.releaseAndHandOver(w, code)
+		m.releaseAndHandOver(w)
 		return
 	}
 	m.handOver(w)
 }
 
-// releaseAndHandOver frees the key and then offers the work to another agent. The code is the refusal if that fails.
-func (m *Machine) releaseAndHandOver(w *work, code result.Code) {
-	w.code = code
+// releaseAndHandOver frees the key and then offers the work to another agent.
+func (m *Machine) releaseAndHandOver(w *work) {
 	w.handNext = true
 	m.release(w)
 }
@@ -147,7 +146,7 @@
 		}
 		m.unqueue(w)
 		if w.bound {
-			m.releaseAndHandOver(w, result.RequestDraining)
+			m.releaseAndHandOver(w)
 			continue
 		}
 		m.handOver(w)
--- a/internal/request/types.go
+++ b/internal/request/types.go
@@ -93,6 +93,7 @@
 	ID      ID
 	Service model.ServiceID
 	Key     string
+	Digest  binding.Digest
 }
 
 // JoinEnded is the outcome of a Join action.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -38,7 +38,7 @@
 	RequestNoUpstream:        {Name: "request-no-upstream", Meaning: "No upstream can take the request; it was not run.", Action: "Retry later."},
 	RequestTooLarge:          {Name: "request-too-large", Meaning: "The request body exceeds the limit; it was not run.", Action: "Send a smaller body."},
 	RequestBindingsFull:      {Name: "request-bindings-full", Meaning: "The table of key bindings is full; the request was not run.", Action: "Retry later; set a deadline on keyed requests."},
-	RequestKeyMismatch:       {Name: "request-key-mismatch", Meaning: "The key was used for another request; this one was not run.", Action: "Use a new key."},
+	RequestKeyMismatch:       {Name: "request-key-mismatch", Meaning: "The key was used for another request; this send was not run.", Action: "Use a new key."},
 	RequestKeyUnchecked:      {Name: "request-key-unchecked", Meaning: "This send was not run; whether an earlier send of the key ran could not be checked.", Action: "Retry with the same key."},
 	RequestOutcomeUnknown:    {Name: "request-outcome-unknown", Meaning: "It cannot be known whether the request ran.", Action: "Check at the upstream before sending a new one."},
 	RequestAnswerNotRetained: {Name: "request-answer-not-retained", Meaning: "The request ran, its answer is no longer held.", Action: "Do not send it again."},
