--- a/internal/request/elsewhere.go
+++ b/internal/request/elsewhere.go
@@ -71,11 +71,12 @@
 		return
 	}
 	switch {
+	case e.Reached && w.ownerFinished && e.Answer == nil:
+		// The log knows more than an owner that was restarted.
+		m.endJoin(w)
 	case e.Reached && e.Held && !notRun(e.Code):
 		m.answerAll(w, e.Code, e.Answer, 0)
 		m.drop(w)
-	case e.Reached && w.ownerFinished:
-		m.endJoin(w)
 	default:
 		// The owner frees the key of a run that it refused or does not have; an owner that is not reached may be
 		// declared lost.
