--- /dev/null
+++ b/internal/binding/binding_test.go
@@ -0,0 +1,247 @@
+package binding_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainseam/plantainseam/internal/binding"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/bindpb"
+)
+
+var (
+	epoch = time.Unix(1_800_000_000, 0)
+	a1    = model.HostRef{Host: "a", Incarnation: 1}
+	a2    = model.HostRef{Host: "a", Incarnation: 2}
+	b1    = model.HostRef{Host: "b", Incarnation: 1}
+)
+
+// proposer is a Proposer over a Table. fail chooses what happens to the n-th proposal.
+type proposer struct {
+	mu     sync.Mutex
+	table  *binding.Table
+	now    time.Time
+	n      int
+	fail   func(n int) (before, after error)
+	leader string
+}
+
+func (p *proposer) Propose(_ context.Context, command []byte) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.n++
+	var before, after error
+	if p.fail != nil {
+		before, after = p.fail(p.n)
+	}
+	if before != nil {
+		return nil, before
+	}
+	out := p.table.Apply(uint64(p.n), p.now, command)
+	return out, after
+}
+
+func (p *proposer) Leader() string { return p.leader }
+
+// serve returns a client over twirp to one server per proposer, in order.
+func serve(t *testing.T, proposers ...*proposer) (*binding.Client, []string) {
+	var addresses []string
+	for _, p := range proposers {
+		s := httptest.NewServer(bindpb.NewBindingsServer(binding.NewServer(p)))
+		t.Cleanup(s.Close)
+		addresses = append(addresses, strings.TrimPrefix(s.URL, "http://"))
+	}
+	return binding.NewClient(func() []string { return addresses }, "http", http.DefaultClient), addresses
+}
+
+func digest(body string) binding.Digest { return binding.Digest(binding.HashKey(0, body)) }
+
+func request(owner model.HostRef, attempt uint64, body string, deadline time.Duration) binding.Request {
+	r := binding.Request{Service: 7, Key: "k", Digest: digest(body), Owner: owner, Attempt: attempt}
+	if deadline != 0 {
+		r.Deadline = epoch.Add(deadline)
+	}
+	return r
+}
+
+// step is one call at a log time; want is the outcome of a Bind.
+type step struct {
+	at      time.Duration
+	bind    *binding.Request
+	finish  *binding.Ref
+	release *binding.Ref
+	lost    *model.HostRef
+	restore bool
+	want    binding.Outcome
+	code    result.Code
+}
+
+func bindStep(owner model.HostRef, attempt uint64, body string, want binding.Outcome) step {
+	r := request(owner, attempt, body, 0)
+	return step{bind: &r, want: want}
+}
+
+func refOf(owner model.HostRef, attempt uint64) *binding.Ref {
+	return &binding.Ref{Service: 7, Key: "k", Owner: owner, Attempt: attempt}
+}
+
+func timed(at, deadline time.Duration, owner model.HostRef, want binding.Outcome, code result.Code) step {
+	r := request(owner, 1, "x", deadline)
+	return step{at: at, bind: &r, want: want, code: code}
+}
+
+// Each row guards against the failure that its name states. The calls go through the Binder over twirp.
+func TestTransitions(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"two owners", []step{bindStep(a1, 1, "x", binding.Bound), bindStep(b1, 1, "x", binding.Owned)}},
+		{"repeated bind is refused", []step{bindStep(a1, 1, "x", binding.Bound), bindStep(a1, 1, "x", binding.Bound)}},
+		{"repeated bind after the finish binds again", []step{bindStep(a1, 1, "x", binding.Bound), {finish: refOf(a1, 1)}, bindStep(a1, 1, "x", binding.Finished)}},
+		{"later attempt after the finish binds again", []step{bindStep(a1, 1, "x", binding.Bound), {finish: refOf(a1, 1)}, bindStep(a1, 2, "x", binding.Finished)}},
+		{"delayed bind replaces a later attempt", []step{bindStep(a1, 2, "x", binding.Bound), bindStep(a1, 1, "x", binding.Owned), {release: refOf(a1, 1)}, bindStep(b1, 1, "x", binding.Owned)}},
+		{"later attempt cannot replace an abandoned one", []step{bindStep(a1, 1, "x", binding.Bound), bindStep(a1, 2, "y", binding.Bound), bindStep(b1, 1, "y", binding.Owned)}},
+		{"delayed release frees a later attempt", []step{bindStep(a1, 2, "x", binding.Bound), {release: refOf(a1, 1)}, bindStep(b1, 1, "x", binding.Owned)}},
+		{"release of another owner frees the key", []step{bindStep(a1, 1, "x", binding.Bound), {release: refOf(b1, 9)}, bindStep(b1, 1, "x", binding.Owned)}},
+		{"release does not free the key", []step{bindStep(a1, 1, "x", binding.Bound), {release: refOf(a1, 1)}, bindStep(b1, 1, "y", binding.Bound)}},
+		{"release frees a finished key", []step{bindStep(a1, 1, "x", binding.Bound), {finish: refOf(a1, 1)}, {release: refOf(a1, 1)}, bindStep(b1, 1, "x", binding.Finished)}},
+		{"another body joins", []step{bindStep(a1, 1, "x", binding.Bound), bindStep(b1, 1, "y", binding.Mismatch), {finish: refOf(a1, 1)}, bindStep(b1, 1, "y", binding.Mismatch)}},
+		{"key of a lost owner is bound again", []step{bindStep(a1, 1, "x", binding.Bound), {lost: &a1}, bindStep(b1, 1, "x", binding.Unknown)}},
+		{"loss of an older incarnation hits the newer", []step{bindStep(a2, 1, "x", binding.Bound), {lost: &a1}, bindStep(b1, 1, "x", binding.Owned)}},
+		{"loss changes a finished key", []step{bindStep(a1, 1, "x", binding.Bound), {finish: refOf(a1, 1)}, {lost: &a1}, bindStep(b1, 1, "x", binding.Finished)}},
+		{"finish of a wrongly lost owner is ignored", []step{bindStep(a1, 1, "x", binding.Bound), {lost: &a1}, {finish: refOf(a1, 1)}, bindStep(b1, 1, "x", binding.Finished)}},
+		{"new incarnation takes over its own key", []step{bindStep(a1, 1, "x", binding.Bound), bindStep(a2, 9, "x", binding.Unknown)}},
+		{"delayed bind of an ended incarnation blocks a key", []step{{bind: &binding.Request{Service: 7, Key: "other", Owner: a2, Attempt: 1}, want: binding.Bound}, bindStep(a1, 1, "x", binding.Unknown), bindStep(b1, 1, "x", binding.Bound)}},
+		{"restore loses a binding", []step{bindStep(a1, 1, "x", binding.Bound), {restore: true}, bindStep(b1, 1, "x", binding.Owned), bindStep(a1, 1, "x", binding.Bound)}},
+		{"bind after the deadline", []step{timed(5*time.Second, 5*time.Second, a1, binding.Expired, result.RequestDeadlinePassed)}},
+		{"expired record: refused as not run", []step{timed(0, 5*time.Second, a1, binding.Bound, 0), timed(64*time.Second, 5*time.Second, b1, binding.Owned, 0), timed(65*time.Second, 5*time.Second, b1, binding.Expired, result.RequestKeyUnchecked)}},
+		{"time that goes back revives a record or a deadline", []step{timed(65*time.Second, 5*time.Second, a1, binding.Expired, result.RequestKeyUnchecked), timed(0, 5*time.Second, b1, binding.Expired, result.RequestKeyUnchecked)}},
+		{"key without a deadline expires early", []step{bindStep(a1, 1, "x", binding.Bound), {at: 24*time.Hour - time.Second, bind: ptr(request(b1, 1, "x", 0)), want: binding.Owned}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := &proposer{table: binding.NewTable(0)}
+			client, _ := serve(t, p)
+			for i, s := range c.steps {
+				p.now = epoch.Add(s.at)
+				s.run(NewWithT(t), p, client, fmt.Sprint("step ", i))
+			}
+		})
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
+
+func (s step) run(g *WithT, p *proposer, b binding.Binder, name string) {
+	ctx := context.Background()
+	switch {
+	case s.bind != nil:
+		answer, err := b.Bind(ctx, *s.bind)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Outcome).To(Equal(s.want), name)
+		if s.code != 0 {
+			g.Expect(answer.Code).To(Equal(s.code), name)
+		}
+	case s.finish != nil:
+		g.Expect(b.Finish(ctx, *s.finish, result.OK)).To(Succeed())
+	case s.release != nil:
+		g.Expect(b.Release(ctx, *s.release)).To(Succeed())
+	case s.lost != nil:
+		p.table.Apply(0, p.now, binding.LostCommand(s.lost.Host, s.lost.Incarnation))
+	case s.restore:
+		first, err := p.table.Snapshot()
+		g.Expect(err).NotTo(HaveOccurred())
+		restored := binding.NewTable(0)
+		g.Expect(restored.Restore(first)).To(Succeed())
+		second, err := restored.Snapshot()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(second).To(Equal(first))
+		p.table = restored
+	}
+}
+
+// Guards against a table that grows without bound, evicts a live binding, or stays full after expiry.
+func TestTableIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	p := &proposer{table: binding.NewTable(10), now: epoch}
+	client, _ := serve(t, p)
+	bind := func(n int) binding.Answer {
+		r := request(a1, uint64(n), "x", 5*time.Second)
+		r.Key = fmt.Sprint("key-", n)
+		r.Deadline = p.now.Add(5 * time.Second)
+		answer, err := client.Bind(context.Background(), r)
+		g.Expect(err).NotTo(HaveOccurred())
+		return answer
+	}
+	for n := range 10 {
+		g.Expect(bind(n).Outcome).To(Equal(binding.Bound))
+	}
+	full := bind(10)
+	g.Expect(full.Outcome).To(Equal(binding.Full))
+	g.Expect(full.Code).To(Equal(result.RequestBindingsFull))
+	g.Expect(p.table.Stats()).To(HaveField("Records", 10))
+	p.now = p.now.Add(66 * time.Second)
+	g.Expect(bind(11).Outcome).To(Equal(binding.Bound))
+	g.Expect(p.table.Stats()).To(And(HaveField("Records", 1), HaveField("Expired", uint64(10))))
+}
+
+// Guards against a Binder that gives up, or binds twice, when answers are lost, leaders change or a VM is silent.
+func TestClientFindsTheLeader(t *testing.T) {
+	lost := func(n int) (error, error) {
+		if n == 1 {
+			return nil, result.Errorf(result.ProposalLost, "answer lost")
+		}
+		return nil, nil
+	}
+	notLeader := func(int) (error, error) { return result.Errorf(result.NotLeader, "follower"), nil }
+	broken := func(int) (error, error) { return errors.New("no number"), nil }
+	for name, others := range map[string]func(int) (error, error){"hint": notLeader, "no hint": broken} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			leader := &proposer{table: binding.NewTable(0), now: epoch, fail: lost}
+			one, two := &proposer{fail: others}, &proposer{fail: others}
+			client, addresses := serve(t, one, two, leader)
+			if name == "hint" {
+				one.leader, two.leader = addresses[2], addresses[2]
+			}
+			answer, err := client.Bind(context.Background(), request(a1, 1, "x", 0))
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(answer.Outcome).To(Equal(binding.Bound))
+			g.Expect(leader.table.Stats().Bound).To(Equal(uint64(1)))
+			g.Expect(client.Finish(context.Background(), *refOf(a1, 1), result.OK)).To(Succeed())
+		})
+	}
+	g := NewWithT(t)
+	client, _ := serve(t, &proposer{fail: broken})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := client.Bind(ctx, request(a1, 1, "x", 0))
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(result.CodeOf(err)).To(Equal(result.NoQuorum))
+}
+
+// Guards against a damaged snapshot or command that is accepted as valid, or that changes the state.
+func TestDamagedInput(t *testing.T) {
+	g := NewWithT(t)
+	table := binding.NewTable(0)
+	bad, err := proto.Marshal(&bindpb.TableSnapshot{Records: []*bindpb.Record{{Key: []byte("short"), State: 1}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, input := range [][]byte{[]byte("\xff\xff"), bad} {
+		g.Expect(result.CodeOf(table.Restore(input))).To(Equal(result.StoreCorrupt))
+	}
+	for _, input := range [][]byte{nil, []byte("\xff\xff"), []byte("\x0a\x00")} {
+		table.Apply(1, epoch, input)
+	}
+	g.Expect(table.Stats().Records).To(BeZero())
+}
