Tests of admission, ejection and drain; outlier-proof estimate

Cause: one slow run raised the estimate so far that work which could finish was refused early. Change: a run moves the service time estimate by at most four times the mean; tables for fairness, early refusal, cold hosts, ejection, its cap and recovery, retry budget, drain and retained answers.

--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -40,12 +40,17 @@
 	}
 }
 
+// outlierFactor limits how far one run moves the estimate: a single stall must not cause refusals of work that can
+// finish, while a lasting slowdown still raises the estimate by half with every run.
+const outlierFactor = 4
+
 // observe adds a measured service time.
 func (s *service) observe(d time.Duration) {
 	if s.mean == 0 {
 		s.mean, s.deviation = d, d/2
 		return
 	}
+	d = min(d, outlierFactor*s.mean+time.Millisecond)
 	diff := d - s.mean
 	s.mean += diff / 8
 	if diff < 0 {
--- /dev/null
+++ b/internal/request/admission_test.go
@@ -0,0 +1,276 @@
+package request_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/binding"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/request"
+	"github.com/plantainseam/plantainseam/internal/result"
+)
+
+// bench drives one machine by hand.
+type bench struct {
+	m       *request.Machine
+	now     time.Time
+	last    request.ID
+	running []request.ID
+	codes   map[request.ID]result.Code
+	handed  map[request.ID]model.HostID
+	overdue []netip.AddrPort
+	service map[request.ID]model.ServiceID
+}
+
+func newBench(change func(*request.Config)) *bench {
+	cfg := request.DefaultConfig(model.HostRef{Host: "h0", Incarnation: 1})
+	if change != nil {
+		change(&cfg)
+	}
+	return &bench{
+		m: request.New(cfg), now: time.Unix(1_800_000_000, 0), codes: map[request.ID]result.Code{},
+		handed: map[request.ID]model.HostID{}, service: map[request.ID]model.ServiceID{},
+	}
+}
+
+func (b *bench) handle(e request.Event) {
+	for _, a := range b.m.Handle(b.now, e, nil) {
+		switch a.Kind {
+		case request.ActionDispatch:
+			b.running = append(b.running, a.Run)
+		case request.ActionAnswer:
+			b.codes[a.ID] = a.Code
+		case request.ActionHandOver:
+			b.handed[a.Run] = a.To
+		case request.ActionDrainOverdue:
+			b.overdue = a.Callers
+		case request.ActionBind:
+			b.handle(request.BindResult{Run: a.Run, Attempt: a.Ref.Attempt, Answer: binding.Answer{Outcome: binding.Bound}})
+		case request.ActionFinish:
+			b.handle(request.FinishDone{Run: a.Run})
+		}
+	}
+}
+
+func (b *bench) send(id model.ServiceID, deadline time.Duration) request.ID {
+	e := request.Received{Service: id, Idempotent: true}
+	if deadline > 0 {
+		e.Deadline = b.now.Add(deadline)
+	}
+	return b.sendEvent(e)
+}
+
+func (b *bench) sendEvent(e request.Received) request.ID {
+	b.last++
+	e.ID = b.last
+	e.Caller = netip.MustParseAddrPort(fmt.Sprintf("10.0.0.1:%d", b.last))
+	b.service[e.ID] = e.Service
+	b.handle(e)
+	return e.ID
+}
+
+// end ends the oldest run after d.
+func (b *bench) end(d time.Duration, r request.RunResult) request.ID {
+	id := b.running[0]
+	b.running = b.running[1:]
+	b.now = b.now.Add(d)
+	b.handle(request.RunEnded{Run: id, Result: r, Answer: &request.Answer{Status: 200, Body: make([]byte, 100)}})
+	return id
+}
+
+// warm lets a service measure its upstream at d per run and leave its slow start.
+func (b *bench) warm(id model.ServiceID, d time.Duration) {
+	for range 20 {
+		b.send(id, 0)
+		b.end(d, request.RunAnswered)
+	}
+}
+
+func (b *bench) peers(list ...request.Peer) {
+	b.handle(request.Peers{Service: service, Peers: list})
+}
+
+// Guards against a service with many or long requests that starves another one on the same host.
+func TestFairness(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(func(c *request.Config) { c.Slots = 1 })
+	b.warm(1, 40*time.Millisecond)
+	b.warm(2, 10*time.Millisecond)
+	for range 60 {
+		b.send(1, 0)
+	}
+	for range 60 {
+		b.send(2, 0)
+	}
+	work := map[model.ServiceID]time.Duration{}
+	for range 60 {
+		id := b.service[b.running[0]]
+		d := map[model.ServiceID]time.Duration{1: 40, 2: 10}[id] * time.Millisecond
+		work[id] += d
+		b.end(d, request.RunAnswered)
+	}
+	share := float64(work[1]) / float64(work[1]+work[2])
+	g.Expect(share).To(BeNumerically("~", 0.5, 0.1))
+}
+
+// Guards against work that is queued although it cannot finish, and against a stall that refuses work that can.
+func TestEarlyRefusal(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(nil)
+	b.warm(service, 100*time.Millisecond)
+	g.Expect(b.codes[b.send(service, 50*time.Millisecond)]).To(Equal(result.RequestDeadlineTooShort))
+	for range 3 {
+		b.send(service, time.Second)
+	}
+	for range 15 {
+		b.send(service, time.Minute)
+	}
+	g.Expect(b.codes[b.send(service, 400*time.Millisecond)]).To(Equal(result.RequestDeadlineTooShort))
+	g.Expect(b.codes).NotTo(HaveKey(b.send(service, 3*time.Second)))
+	b.end(0, request.RunAnswered)
+	b = newBench(nil)
+	b.warm(service, 10*time.Millisecond)
+	b.send(service, 0)
+	b.end(5*time.Second, request.RunAnswered)
+	g.Expect(b.codes).NotTo(HaveKey(b.send(service, 100*time.Millisecond)))
+}
+
+// Guards against a cold host that takes full load at once, and against cold hosts that take none.
+func TestColdUpstreams(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(nil)
+	b.handle(request.Local{Cold: true})
+	for range 5 {
+		b.send(service, 0)
+	}
+	g.Expect(b.running).To(HaveLen(1))
+	b.handle(request.Local{})
+	g.Expect(b.running).To(HaveLen(1))
+	for range 10 {
+		b.end(time.Millisecond, request.RunAnswered)
+		b.send(service, 0)
+	}
+	b.send(service, 0)
+	g.Expect(b.running).To(HaveLen(3))
+}
+
+// eject fails runs until the upstream is ejected.
+func (b *bench) eject() {
+	for range 5 {
+		b.sendEvent(request.Received{Service: service, Key: fmt.Sprint("e", b.last)})
+		b.end(time.Millisecond, request.RunBroken)
+	}
+}
+
+// Guards against a failing upstream that keeps getting work, an ejection above the cap, and one that never ends.
+func TestEjection(t *testing.T) {
+	g := NewWithT(t)
+	healthy := request.Peer{Host: "h1", TakesWork: true}
+	b := newBench(nil)
+	b.peers(healthy, request.Peer{Host: "h2", TakesWork: true, Queued: 9})
+	b.eject()
+	_, ejected := b.m.Ejected(service)
+	g.Expect(ejected).To(BeTrue())
+	g.Expect(b.handed).To(HaveKeyWithValue(b.send(service, 0), model.HostID("h1")))
+	b.now = b.now.Add(3 * time.Second)
+	b.send(service, 0)
+	g.Expect(b.running).To(HaveLen(1), "probe")
+	g.Expect(b.handed).To(HaveKey(b.send(service, 0)), "one probe at a time")
+	b.end(0, request.RunBroken)
+	g.Expect(b.handed).To(HaveKey(b.send(service, 0)), "failed probe")
+	b.now = b.now.Add(5 * time.Second)
+	b.send(service, 0)
+	b.end(0, request.RunAnswered)
+	_, ejected = b.m.Ejected(service)
+	g.Expect(ejected).To(BeFalse())
+}
+
+// Guards against agents that eject more than half of a service's hosts, and against requests that fail because all but
+// one host are failing.
+func TestEjectionCap(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(nil)
+	earlier := b.now.Add(-time.Minute)
+	b.peers(
+		request.Peer{Host: "h1", Ejected: true, Since: earlier},
+		request.Peer{Host: "h2", Ejected: true, Since: earlier},
+		request.Peer{Host: "h3", TakesWork: true},
+	)
+	b.eject()
+	_, ejected := b.m.Ejected(service)
+	g.Expect(ejected).To(BeFalse(), "two of four hosts are ejected already")
+	id := b.send(service, 0)
+	g.Expect(b.handed).NotTo(HaveKey(id))
+	g.Expect(b.running).To(ConsistOf(id))
+	b = newBench(nil)
+	b.peers(request.Peer{Host: "h1"})
+	b.eject()
+	id = b.send(service, 0)
+	g.Expect(b.running).To(ConsistOf(id), "no other host takes work")
+}
+
+// Guards against re-sends that multiply the load of a failing service.
+func TestRetryBudget(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(func(c *request.Config) { c.RetryBurst, c.RetryRatio, c.EjectAfter = 2, 0, 1000 })
+	b.peers(request.Peer{Host: "h1", TakesWork: true})
+	for range 4 {
+		b.send(service, 0)
+		b.end(time.Millisecond, request.RunShed)
+	}
+	g.Expect(b.handed).To(HaveLen(2))
+	g.Expect(b.codes).To(Equal(map[request.ID]result.Code{3: result.RequestRetryBudgetSpent, 4: result.RequestRetryBudgetSpent}))
+}
+
+// Guards against a drain that cuts a caller, hides one, or leaves queued work behind.
+func TestDrain(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(nil)
+	for range 3 {
+		b.send(service, 0)
+	}
+	b.peers(request.Peer{Host: "h1", TakesWork: true})
+	b.handle(request.Local{Draining: true, DrainDeadline: b.now.Add(time.Minute)})
+	g.Expect(b.handed).To(HaveLen(2))
+	b.now = b.now.Add(time.Minute)
+	b.handle(request.Tick{})
+	g.Expect(b.overdue).To(HaveLen(3))
+	g.Expect(b.codes).To(BeEmpty())
+	b.end(0, request.RunAnswered)
+	b.handle(request.HandOverEnded{Run: 2, Sent: true, Reached: true, Answer: &request.Answer{Status: 200}})
+	g.Expect(b.codes).To(Equal(map[request.ID]result.Code{1: result.OK, 2: result.OK}))
+	g.Expect(b.m.Remaining()).To(HaveLen(1))
+}
+
+// Guards against answers kept without bound, and against a retry of an evicted one that is told anything but "ran".
+func TestRetainedAnswersAreBounded(t *testing.T) {
+	for name, change := range map[string]func(*request.Config){
+		"count": func(c *request.Config) { c.RetainCount = 3 },
+		"bytes": func(c *request.Config) { c.RetainBytes = 3 * 164 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			b := newBench(change)
+			for i := range 5 {
+				b.sendEvent(request.Received{Service: service, Key: fmt.Sprint("k", i)})
+				b.end(time.Millisecond, request.RunAnswered)
+			}
+			held := 0
+			for _, a := range b.m.Handle(b.now, request.JoinAsked{ID: 200, Service: service, Key: "k0"}, nil) {
+				g.Expect(a.Held).To(BeFalse(), "evicted; the log answers")
+			}
+			for i := range 5 {
+				for _, a := range b.m.Handle(b.now, request.JoinAsked{ID: request.ID(300 + i), Service: service, Key: fmt.Sprint("k", i)}, nil) {
+					if a.Held && a.Answer != nil {
+						held++
+					}
+				}
+			}
+			g.Expect(held).To(Equal(3))
+		})
+	}
+}
--- a/internal/request/model_test.go
+++ b/internal/request/model_test.go
@@ -250,7 +250,9 @@
 func (w *world) dispatch(a *agent, run request.ID) {
 	s := a.sends[run]
 	m := &message{what: "dispatch", from: a}
-	end := func(r request.RunResult, ans *request.Answer) { w.handle(a, request.RunEnded{Run: run, Result: r, Answer: ans}) }
+	end := func(r request.RunResult, ans *request.Answer) {
+		w.handle(a, request.RunEnded{Run: run, Result: r, Answer: ans})
+	}
 	m.deliver = func() {
 		switch w.outcome(6) {
 		case 0:
