Tests of the gate and the upstream transport over real connections

Cause: whole answers, single sends, drain, restarts and cancellation were covered by benchmarks only. Change: contract of Upstream with hand-written HTTP answers; drain, owner restart, lost quorum, cancel and limits.

--- /dev/null
+++ b/internal/gate/upstream_test.go
@@ -0,0 +1,221 @@
+package gate_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/gate"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/request"
+	"github.com/plantainseam/plantainseam/internal/result"
+)
+
+// rawUpstream accepts connections and hands each to serve, which speaks HTTP by hand.
+func rawUpstream(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func at(addr string) gate.Upstream {
+	return gate.NewHTTPUpstream(func(model.ServiceID) (string, bool) { return addr, addr != "" })
+}
+
+// Guards against a request that http.Transport sends twice because a reused connection ended without an answer.
+func TestUpstreamSendsOnce(t *testing.T) {
+	for _, body := range []string{"", "match"} {
+		for _, key := range []string{"", "k"} {
+			g := NewWithT(t)
+			var seen atomic.Int64
+			addr := rawUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for i := 0; ; i++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					if req.URL.Path == "/warm" {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+						continue
+					}
+					seen.Add(1)
+					return
+				}
+			})
+			u := at(addr)
+			resp, _, err := u.Do(context.Background(), &gate.Outgoing{Method: "GET", URI: "/warm", Header: http.Header{}, Idempotent: true})
+			g.Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+			h := http.Header{}
+			if key != "" {
+				h.Set(gate.HeaderKey, key)
+			}
+			_, sent, err := u.Do(context.Background(), &gate.Outgoing{Method: "POST", URI: "/match", Header: h, Body: []byte(body)})
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(sent).To(BeTrue())
+			g.Expect(seen.Load()).To(Equal(int64(1)))
+		}
+	}
+}
+
+// Guards against "not run" about a request that the upstream may have seen, and "unknown" about one it cannot have seen.
+func TestUpstreamKnowsWhatWasSent(t *testing.T) {
+	g := NewWithT(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	addr := closed.Addr().String()
+	_ = closed.Close()
+	for _, addr := range []string{addr, ""} {
+		_, sent, err := at(addr).Do(context.Background(), &gate.Outgoing{Method: "POST", URI: "/", Header: http.Header{}})
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(sent).To(BeFalse())
+	}
+	silent := rawUpstream(t, func(_ int, c net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, sent, err := at(silent).Do(ctx, &gate.Outgoing{Method: "POST", URI: "/", Header: http.Header{}})
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(sent).To(BeTrue())
+}
+
+// Each row guards against an answer that is passed on as whole although its end was not received, or the reverse.
+func TestEndOfAnswers(t *testing.T) {
+	for _, c := range []struct{ name, method, raw, code string }{
+		{"length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", "0"},
+		{"length, cut", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", "3203"},
+		{"chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "0"},
+		{"last chunk missing", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "3203"},
+		{"end of connection", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc", "3203"},
+		{"end of connection, HTTP/1.0", "POST", "HTTP/1.0 200 OK\r\n\r\nabc", "3203"},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", "0"},
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", "0"},
+		{"headers cut", "POST", "HTTP/1.1 200 OK\r\nContent-Le", "3201"},
+		{"shed with result header", "POST", "HTTP/1.1 503 Busy\r\nPlantainseam-Result: 3005 request-shed\r\nContent-Length: 0\r\n\r\n", "3005"},
+		{"503 without result header", "POST", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			addr := rawUpstream(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if req, err := http.ReadRequest(r); err == nil {
+					_, _ = io.Copy(io.Discard, req.Body)
+					_, _ = io.WriteString(conn, c.raw)
+				}
+			})
+			cl := newCluster(1, 1, plain, func(cfg *request.Config) { cfg.RetryBurst = 0 })
+			t.Cleanup(cl.close)
+			old := cl.nodes["host-0"].upstream
+			cl.nodes["host-0"].gate.Close()
+			n := cl.start(cl.nodes["host-0"].ref, &upstream{Server: &httptest.Server{URL: "http://" + addr}})
+			n.upstream = old
+			r := cl.send(context.Background(), "host-0", c.method, "k", "x")
+			g.Expect(r.code).To(Equal(c.code), fmt.Sprint(r))
+		})
+	}
+}
+
+// Guards against a leaving host that runs new requests, breaks its callers' connections, or refuses them.
+func TestDrainHandsOver(t *testing.T) {
+	g := NewWithT(t)
+	c := withCluster(t, 2, plain)
+	c.node("host-0").gate.SetLocal(request.Local{Draining: true})
+	for _, method := range []string{"GET", "POST"} {
+		r := c.send(context.Background(), "host-0", method, "k"+method, method)
+		g.Expect(r).To(Equal(reply{200, "0", "ran " + method, nil}))
+		g.Expect(c.node("host-0").upstream.runs(method)).To(BeZero())
+	}
+	g.Expect(c.node("host-0").account.Sums(serviceID, 2).Answered).To(Equal(uint64(2)))
+	g.Expect(c.node("host-1").account.Sums(serviceID, 2).Issued).To(BeZero(), "counted once, where the caller is")
+	c.node("host-1").gate.SetLocal(request.Local{Draining: true})
+	g.Expect(c.send(context.Background(), "host-1", "POST", "k3", "x").code).To(Equal("3004"))
+}
+
+// Guards against a retry that runs again, or is told "not run", after the agent that ran the request was restarted.
+func TestOwnerRestarts(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	c := withCluster(t, 2, func(*http.Request, string) behaviour { <-release; return behaviour{} })
+	first := make(chan reply, 1)
+	go func() { first <- c.send(context.Background(), "host-0", "POST", "k", "match") }()
+	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
+	g.Eventually(func() uint64 { c.log.mu.Lock(); defer c.log.mu.Unlock(); return c.log.table.Stats().Bound }).Should(Equal(uint64(1)))
+	c.restart("host-0")
+	g.Expect((<-first).err).To(HaveOccurred())
+	for _, host := range []model.HostID{"host-1", "host-0"} {
+		g.Expect(c.send(context.Background(), host, "POST", "k", "match").code).To(Equal("3201"))
+	}
+	close(release)
+}
+
+// Guards against a log without a quorum that lets a keyed request run, or stops requests without a key.
+func TestLogUnreached(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(1, 1, plain, func(cfg *request.Config) { cfg.BindPatience = 50 * time.Millisecond })
+	t.Cleanup(c.close)
+	c.log.set(func(l *log) { l.down = true })
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").code).To(Equal("3102"))
+	g.Expect(c.send(context.Background(), "host-0", "GET", "", "y").code).To(Equal("0"))
+	c.log.set(func(l *log) { l.down = false })
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").code).To(Equal("0"))
+	g.Expect(c.runs("x")).To(Equal(1))
+}
+
+// Guards against a cancellation or a deadline that does not reach the upstream.
+func TestCancelReachesUpstream(t *testing.T) {
+	g := NewWithT(t)
+	ended := make(chan string, 2)
+	c := withCluster(t, 1, func(r *http.Request, body string) behaviour {
+		<-r.Context().Done()
+		ended <- body + r.Header.Get(gate.HeaderDeadline)
+		return behaviour{}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
+		cancel()
+	}()
+	g.Expect(c.send(ctx, "host-0", "GET", "", "one").err).To(HaveOccurred())
+	g.Eventually(ended).Should(Receive(Equal("one")))
+	deadline := time.Now().Add(100 * time.Millisecond).Format(time.RFC3339Nano)
+	r := c.send(context.Background(), "host-0", "POST", "k", "two", gate.HeaderDeadline, deadline)
+	g.Expect(r.code).To(Equal(fmt.Sprint(int(result.RequestOutcomeUnknown))))
+	g.Eventually(ended).Should(Receive(Equal("two" + deadline)))
+	g.Expect(c.node("host-0").account.Check()).To(BeEmpty())
+}
+
+// Guards against bodies without bound and keys that other processes would read differently.
+func TestMalformedRequests(t *testing.T) {
+	g := NewWithT(t)
+	c := withCluster(t, 1, plain)
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", strings.Repeat("x", 2<<20)).code).To(Equal("3013"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k\xff", "x").code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x", gate.HeaderDeadline, "soon").code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", strings.Repeat("k", 300), "x").code).To(Equal("3011"))
+	sums := c.node("host-0").account.Sums(serviceID, 2)
+	g.Expect(sums.Refused).To(Equal(uint64(4)))
+}
