--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -141,7 +141,7 @@
 	if c.now.Before(c.electionAt) {
 		return
 	}
-	if !c.membership().Voter(c.cfg.ID) {
+	if !c.electable() {
 		c.resetElection()
 		return
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,5 +1,16 @@
 package consensus
 
+// electable reports whether this member may lead. A member whose removal is not known to be committed still may: its log
+// can be the only one that a quorum accepts, and it steps down when the removal is committed.
+func (c *Core) electable() bool {
+	config := c.log.config()
+	if config.membership.Voter(c.cfg.ID) {
+		return true
+	}
+	n := len(c.log.configs)
+	return n > 1 && config.index > c.log.commit && c.log.configs[n-2].membership.Voter(c.cfg.ID)
+}
+
 // startPreVote asks the other voters whether an election could succeed, without changing the term. A member that was
 // cut off therefore returns with the term it left with.
 func (c *Core) startPreVote() {
@@ -106,7 +117,7 @@
 
 // handleTimeoutNow starts an election at the request of the leader.
 func (c *Core) handleTimeoutNow() {
-	if c.role == Leader || !c.membership().Voter(c.cfg.ID) {
+	if c.role == Leader || !c.electable() {
 		return
 	}
 	c.startElection(true)
