Test the node and its transports under faults

Cause: slow disks, slow state machines, silent connections and repairs were not tested on running nodes.

--- a/internal/consensus/node/node_test.go
+++ b/internal/consensus/node/node_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/consensus"
@@ -61,18 +62,17 @@
 	_ = h(ctx, messages)
 }
 
-// counter is a state machine that adds numbers. It can be made to block.
+// counter is a state machine that adds numbers. It blocks while it is held.
 type counter struct {
+	hold  sync.Mutex
 	mu    sync.Mutex
 	sum   uint64
 	count uint64
-	block chan struct{}
 }
 
 func (c *counter) Apply(_ uint64, _ time.Time, command []byte) []byte {
-	if c.block != nil {
-		<-c.block
-	}
+	c.hold.Lock()
+	defer c.hold.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sum += binary.BigEndian.Uint64(command)
@@ -109,6 +109,7 @@
 	path     string
 	identity store.Identity
 	dir      *store.Directory
+	disk     *slowStore
 	machine  *counter
 	node     *node.Node
 }
@@ -118,6 +119,7 @@
 	network *network
 	members []*member
 	first   []consensus.Member
+	logger  log.Logger
 }
 
 const testLog = "catalog"
@@ -148,27 +150,36 @@
 	return m
 }
 
-func (c *cluster) start(m *member) {
+func (c *cluster) start(m *member) { c.g.Expect(c.tryStart(m)).To(Succeed()) }
+
+func (c *cluster) tryStart(m *member) error {
 	var err error
 	m.dir, err = store.Open(m.path, m.identity.ID)
 	c.g.Expect(err).NotTo(HaveOccurred())
-	log, err := m.dir.Log(testLog)
+	l, err := m.dir.Log(testLog)
 	c.g.Expect(err).NotTo(HaveOccurred())
 	m.machine = &counter{}
+	m.disk = &slowStore{Store: l}
 	bootstrap := c.first
 	if _, ok := (consensus.Membership{Members: c.first}).Find(m.identity.ID); !ok {
 		bootstrap = nil
 	}
-	m.node, err = node.Start(node.Config{
-		Log:             testLog,
-		Consensus:       consensus.Config{ID: m.identity.ID, Seed: 1, Heartbeat: 20 * time.Millisecond, Election: 200 * time.Millisecond, Retransmit: 100 * time.Millisecond, RetainEntries: 16},
-		Bootstrap:       bootstrap,
-		Store:           log,
-		StateMachine:    m.machine,
-		Transport:       port{c.network, m.identity.ID},
-		SnapshotEntries: 100,
+	started, err := node.Start(node.Config{
+		Log: testLog,
+		Consensus: consensus.Config{
+			ID: m.identity.ID, Seed: 1, RetainEntries: 16,
+			Heartbeat: 20 * time.Millisecond, Election: 200 * time.Millisecond, Retransmit: 100 * time.Millisecond,
+		},
+		Bootstrap: bootstrap, Store: m.disk, StateMachine: m.machine, Transport: port{c.network, m.identity.ID},
+		Logger: c.logger, SnapshotEntries: 100,
 	})
-	c.g.Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		_ = l.Close()
+		_ = m.dir.Close()
+		return err
+	}
+	m.node = started
+	return nil
 }
 
 func (c *cluster) stop(m *member) {
