End a flow whose last acknowledgement was lost

A packet trace showed the caller's last ACK lost at the killed entry VM; the stack sent its FIN again, went from LAST-ACK to FIN-WAIT-2 and waited for a FIN that it had already received. Ruled out: a relay that does not pass on the end, a redirect to the wrong agent.

--- a/internal/delivery/contract_test.go
+++ b/internal/delivery/contract_test.go
@@ -41,7 +41,8 @@
 	service model.ServiceID
 	under   delivery.Delivery
 	receive func([]byte)
-	silent  bool // the caller's packets are lost
+	silent  bool                     // the caller's packets are lost
+	lose    func(packet []byte) bool // says whether a packet of the caller is lost; nil loses none
 	errs    []result.Code
 	end     map[model.FlowKey][]result.Code
 	conns   chan net.Conn
@@ -77,7 +78,7 @@
 	}
 	l.mu.Lock()
 	key := model.FlowKey{Service: l.service, Caller: inner.Caller}
-	lost := l.silent
+	lost := l.silent || l.lose != nil && l.lose(packet)
 	l.toDelivery = append(l.toDelivery, append([]byte(nil), packet...))
 	l.mu.Unlock()
 	if lost {
--- a/internal/delivery/netstack.go
+++ b/internal/delivery/netstack.go
@@ -115,6 +115,7 @@
 	key      model.FlowKey
 	tuple    tuple
 	ep       tcpip.Endpoint // nil while half-open
+	conn     *Conn          // nil while half-open
 	started  time.Time
 	lastSeen time.Time   // arrival of the caller's last packet
 	code     result.Code // why it ends; OK until a reason is known
--- a/internal/delivery/netstack_flows.go
+++ b/internal/delivery/netstack_flows.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"gvisor.dev/gvisor/pkg/tcpip"
@@ -24,11 +27,27 @@
 // Conn is the connection given to Handler.Established. It has the half-close methods of net.TCPConn.
 type Conn struct {
 	*gonet.TCPConn
-	ep tcpip.Endpoint
+	ep    tcpip.Endpoint
+	ended atomic.Bool // the caller's FIN was received
 }
 
 var _ net.Conn = (*Conn)(nil)
 
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if errors.Is(err, io.EOF) {
+		c.ended.Store(true)
+	}
+	return n, err
+}
+
+// closedByBoth says whether the connection is over although the stack still waits in FIN-WAIT-2. The stack enters this
+// state instead of LAST-ACK when it sends the last FIN again, and then waits for a FIN that it has already received.
+func (c *Conn) closedByBoth() bool {
+	return c.ended.Load() && tcp.EndpointState(c.ep.State()) == tcp.StateFinWait2
+}
+
 // Abort ends the connection with a reset, so that the caller cannot take what it received for a complete answer.
 func (c *Conn) Abort() { c.ep.Abort() }
 
@@ -51,7 +70,7 @@
 	ended := waiter.NewFunctionEntry(waiter.EventHUp, func(waiter.EventMask) { n.endpointEnded(f) })
 	wq.EventRegister(&ended)
 	conn := &Conn{TCPConn: gonet.NewTCPConn(wq, ep), ep: ep}
-	if !n.establish(f, ep) {
+	if !n.establish(f, conn) {
 		conn.Abort()
 		_ = conn.Close()
 		n.remove(f)
@@ -73,13 +92,14 @@
 }
 
 // establish moves a flow out of the half-open table. It returns false when the flow was ended meanwhile.
-func (n *Netstack) establish(f *flow, ep tcpip.Endpoint) bool {
+func (n *Netstack) establish(f *flow, conn *Conn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if f.removed || f.code != result.OK || n.closed {
 		return false
 	}
-	f.ep = ep
+	f.ep = conn.ep
+	f.conn = conn
 	f.lastSeen = time.Now()
 	n.halfOpen--
 	return true
@@ -200,7 +220,7 @@
 
 // sweep removes ended flows and ends those that were silent or half-open for too long.
 func (n *Netstack) sweep(now time.Time) {
-	var gone, silent []*flow
+	var gone, over, silent []*flow
 	n.mu.Lock()
 	for _, f := range n.flows {
 		switch {
@@ -209,6 +229,8 @@
 		case f.ep == nil:
 		case stateless(f.ep):
 			gone = append(gone, f)
+		case f.conn.closedByBoth():
+			over = append(over, f)
 		case tcp.EndpointState(f.ep.State()) != tcp.StateTimeWait && now.Sub(f.lastSeen) > n.cfg.SilentAfter:
 			silent = append(silent, f)
 		}
@@ -220,6 +242,10 @@
 	for _, f := range gone {
 		n.remove(f)
 	}
+	for _, f := range over {
+		f.ep.Abort() // the caller has no connection that the reset could end
+		n.remove(f)
+	}
 	for _, f := range silent {
 		n.mu.Lock()
 		ep := f.ep
