--- a/internal/catalog/history.go
+++ b/internal/catalog/history.go
@@ -31,6 +31,15 @@
 	c.trimChanges()
 }
 
+// recordUncertain is record for a change after which ends at the host may be missing from the account.
+func (c *Catalog) recordUncertain(host, text string, services ...uint32) {
+	c.record(nil, host, text, services...)
+	added := min(max(1, len(services)), len(c.changes))
+	for _, ch := range c.changes[len(c.changes)-added:] {
+		ch.Uncertain = true
+	}
+}
+
 // trimChanges drops the oldest changes above MaxChanges. The services they concerned count them, so that a report can
 // state that its list of changes is incomplete.
 func (c *Catalog) trimChanges() {
--- a/internal/catalog/hosts.go
+++ b/internal/catalog/hosts.go
@@ -105,7 +105,11 @@
 	c.indexHost(next)
 	c.dirtyHosts[next.Host] = true
 	services := c.rederive(next.Host)
-	if text := announceText(next, old); text != "" {
+	text := announceText(next, old)
+	switch {
+	case old != nil && old.Incarnation != next.Incarnation:
+		c.recordUncertain(next.Host, text, services...)
+	case text != "":
 		c.record(nil, next.Host, text, services...)
 	}
 }
@@ -183,7 +187,7 @@
 		h.Version = c.index
 		c.dirtyHosts[h.Host] = true
 		services := c.rederive(h.Host)
-		c.record(nil, h.Host, fmt.Sprintf("host %s declared lost, reported by %s", h.Host, strings.Join(l.Observers, ", ")), services...)
+		c.recordUncertain(h.Host, fmt.Sprintf("host %s declared lost, reported by %s", h.Host, strings.Join(l.Observers, ", ")), services...)
 	}
 	return nil
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -158,12 +158,15 @@
 	q.done <- nil
 }
 
+// view calls f while nothing is applied. The log is asked for its members before the state is locked, since the log may
+// hold a lock of its own while it applies.
 func (c *Control) view(f func(v planner.View)) {
+	v := planner.View{Now: c.cfg.Now(), Fleet: c.table}
+	if c.cfg.Members != nil {
+		v.Control = c.cfg.Members.Status()
+	}
 	c.cfg.State.Read(func(cat *catalog.Catalog) {
-		v := planner.View{Now: c.cfg.Now(), Catalog: cat, Fleet: c.table}
-		if c.cfg.Members != nil {
-			v.Control = c.cfg.Members.Status()
-		}
+		v.Catalog = cat
 		f(v)
 	})
 }
--- /dev/null
+++ b/internal/control/faults_test.go
@@ -0,0 +1,252 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/catalog"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/intentpb"
+	"github.com/plantainseam/plantainseam/rpc/memberpb"
+)
+
+// deployment returns a rig with two entries and two services on three and two hosts.
+func deployment(t *testing.T) *rig {
+	r := newRig(t, 3)
+	r.entry("e1", "ub-campus")
+	r.entry("e2", "ub-khanuul")
+	r.host("h1", "ub-bayangol", "sample-book")
+	r.host("h2", "ub-sukhbaatar", "sample-book")
+	r.host("h3", "ub-khanuul", "sample-book", "scan-vault")
+	r.host("h4", "ub-campus", "scan-vault")
+	r.settle(1)
+	r.carry("c1", createSpec("sample-book", "10.0.0.1:80", "request", "h1", "h2", "h3"))
+	r.carry("c2", createSpec("scan-vault", "10.0.0.2:80", "stream", "h3", "h4"))
+	return r
+}
+
+func plans() map[string]*intentpb.Spec {
+	return map[string]*intentpb.Spec{
+		"create":  createSpec("new", "10.0.0.3:80", "stream", "h1"),
+		"retire":  retireSpec("h1"),
+		"limits":  {Want: &intentpb.Spec_Limits{Limits: &intentpb.SetLimits{Service: "sample-book", QueueLimit: 9, Host: "h2", Slots: 2}}},
+		"rights":  {Want: &intentpb.Spec_Rights{Rights: &intentpb.DeclareRights{Service: "sample-book", Hosts: []string{"h1", "h2", "h4"}}}},
+		"move":    {Want: &intentpb.Spec_Move{Move: &intentpb.MoveLoad{Service: "scan-vault", From: "ub-khanuul", To: "ub-campus"}}},
+		"close":   {Want: &intentpb.Spec_Close{Close: &intentpb.CloseService{Service: "scan-vault"}}},
+		"replace": {Want: &intentpb.Spec_Replace{Replace: &intentpb.ReplaceControl{Old: name(1), New: "z-control", Address: "127.0.0.9:9"}}},
+		"rotate":  {Want: &intentpb.Spec_Rotate{Rotate: &intentpb.RotateKey{Key: 5}}},
+	}
+}
+
+// Guards against a plan that stops, repeats a step or ends in another state when the leader is lost, and an answer
+// with it, at any of its steps: the leader changes after each step that any leader carries out.
+func TestLeaderLossAtEveryStep(t *testing.T) {
+	for kind, spec := range plans() {
+		t.Run(kind, func(t *testing.T) {
+			r := deployment(t)
+			res := r.plan("ann", kind, spec)
+			r.g.Expect(res.Code).To(BeZero(), res.Detail)
+			r.log.setLeader(1)
+			r.ticks()
+			res = r.confirm("ann", res.Intent)
+			r.g.Expect(res.Code).To(BeZero(), res.Detail)
+			in := res.Intent
+			changes := 0
+			for heartbeat := 0; in.State == intentpb.State_STATE_RUNNING && heartbeat < 60; heartbeat++ {
+				r.log.loseOne()
+				r.settle(1)
+				next := r.get(in.Id)
+				if next.Step != in.Step {
+					changes++
+					r.log.setLeader(changes % 3)
+					r.ticks()
+				}
+				in = next
+			}
+			r.g.Expect(in.State).To(Equal(intentpb.State_STATE_DONE), in.Waiting)
+			r.g.Expect(changes).To(BeNumerically(">", 0))
+			r.expectChangesOnce(in.Id)
+			r.expectSameState()
+		})
+	}
+}
+
+// loseOne makes the next proposal commit without an answer.
+func (l *memLog) loseOne() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseAnswers = 1
+}
+
+// expectChangesOnce fails if the history has a change of the intent twice.
+func (r *rig) expectChangesOnce(intent uint64) {
+	seen := map[string]bool{}
+	r.log.replicas[0].state.Read(func(c *catalog.Catalog) {
+		for _, ch := range c.Changes(0) {
+			key := fmt.Sprint(ch.Service, ch.Host, ch.Text)
+			r.g.Expect(ch.Intent == intent && seen[key]).To(BeFalse(), "%s twice", ch.Text)
+			seen[key] = seen[key] || ch.Intent == intent
+		}
+	})
+}
+
+func (r *rig) expectSameState() {
+	want, err := r.log.replicas[0].state.Snapshot()
+	r.g.Expect(err).NotTo(HaveOccurred())
+	for _, rep := range r.log.replicas[1:] {
+		got, err := rep.state.Snapshot()
+		r.g.Expect(err).NotTo(HaveOccurred())
+		r.g.Expect(got).To(Equal(want))
+	}
+}
+
+// Guards against two operators who both win a race for one host or service, a loser who is not told who won, and a
+// resend that plans or confirms twice.
+func TestOperatorsRaceAndResend(t *testing.T) {
+	r := deployment(t)
+	g := r.g
+	r.hosts["h1"].OpenFlows = 2
+	r.settle(1)
+	ann := r.plan("ann", "1", retireSpec("h1"))
+	bob := r.plan("bob", "1", &intentpb.Spec{Want: &intentpb.Spec_Close{Close: &intentpb.CloseService{Service: "sample-book"}}})
+	g.Expect([]uint32{ann.Code, bob.Code}).To(Equal([]uint32{0, 0}))
+	g.Expect(ann.Intent.Plan.Flows).To(BeEquivalentTo(2))
+
+	r.log.loseOne()
+	g.Expect(r.confirm("ann", ann.Intent).Code).To(BeEquivalentTo(result.ProposalLost))
+	g.Expect(r.confirm("ann", ann.Intent).Code).To(BeZero())
+	lost := r.confirm("bob", bob.Intent)
+	g.Expect(lost.Code).To(BeEquivalentTo(result.IntentConflict))
+	g.Expect(lost.Detail).To(ContainSubstring(fmt.Sprintf("intent %d of ann", ann.Intent.Id)))
+	late := r.plan("cem", "1", retireSpec("h2"))
+	g.Expect(late.Code).To(BeEquivalentTo(result.IntentConflict))
+	g.Expect(r.plan("cem", "1", retireSpec("h2")).Intent.Id).To(Equal(late.Intent.Id))
+	g.Expect(r.plan("cem", "1", retireSpec("h3")).Code).To(BeEquivalentTo(result.IntentKeyReused))
+
+	r.log.loseOne()
+	g.Expect(r.plan("dee", "1", retireSpec("h4")).Code).To(BeEquivalentTo(result.ProposalLost))
+	again := r.plan("dee", "1", retireSpec("h4"))
+	g.Expect(again.Code).To(BeZero())
+	g.Expect(r.plan("dee", "1", retireSpec("h4")).Intent.Id).To(Equal(again.Intent.Id))
+
+	r.settle(5)
+	g.Expect(r.get(ann.Intent.Id).Waiting).To(ContainSubstring("2 flows"))
+	r.hosts["h1"].OpenFlows = 0
+	r.settle(8)
+	g.Expect(r.get(ann.Intent.Id).State).To(Equal(intentpb.State_STATE_DONE))
+	outdated := r.confirm("bob", bob.Intent)
+	g.Expect(outdated.Code).To(BeEquivalentTo(result.PlanOutdated))
+	g.Expect(outdated.Intent.Plan.Number).To(BeEquivalentTo(2))
+	g.Expect(r.confirm("bob", outdated.Intent).Code).To(BeZero())
+}
+
+// Guards against calls without an operator, by another role, or at a VM that does not lead.
+func TestIntentsRefuseStrangers(t *testing.T) {
+	r := deployment(t)
+	res, err := r.leader().intents.Plan(r.ctx, &intentpb.PlanRequest{Key: "k", Spec: retireSpec("h1")})
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(res.Code).To(BeEquivalentTo(result.PeerNotPermitted))
+	res, err = r.nodes[2].intents.Plan(operator("ann"), &intentpb.PlanRequest{Key: "k", Spec: retireSpec("h1")})
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(res.Code).To(BeEquivalentTo(result.NotLeader))
+	r.g.Expect(res.Leader).To(Equal(address(0)))
+	other := r.hosts["h1"]
+	other.Host = "h9"
+	ann, err := r.leader().members.Announce(operator("ann"), other)
+	r.g.Expect(err).NotTo(HaveOccurred())
+	r.g.Expect(ann.Code).To(BeEquivalentTo(result.PeerNotPermitted))
+}
+
+// Guards against false announcements that change the configuration.
+func TestFalseAnnouncements(t *testing.T) {
+	for fault, c := range map[string]struct {
+		change func(r *rig, h *memberpb.AnnounceRequest)
+		code   result.Code
+	}{
+		"service without right": {func(_ *rig, h *memberpb.AnnounceRequest) { h.Carries = append(h.Carries, "scan-vault") }, result.AnnounceNotPermitted},
+		"stale incarnation":     {func(_ *rig, h *memberpb.AnnounceRequest) { h.Incarnation = 0 }, result.AnnounceNotPermitted},
+		"taken tunnel address":  {func(r *rig, h *memberpb.AnnounceRequest) { h.Tunnel = r.hosts["h2"].Tunnel }, result.AnnounceAddressTaken},
+		"taken RPC address":     {func(r *rig, h *memberpb.AnnounceRequest) { h.Rpc = r.hosts["h2"].Rpc }, result.AnnounceAddressTaken},
+		"malformed address":     {func(_ *rig, h *memberpb.AnnounceRequest) { h.Tunnel = "h1" }, result.AnnounceNotPermitted},
+		"no failure domain":     {func(_ *rig, h *memberpb.AnnounceRequest) { h.FailureDomain = "" }, result.AnnounceNotPermitted},
+		"other role":            {func(_ *rig, h *memberpb.AnnounceRequest) { h.Entry = true }, result.AnnounceNotPermitted},
+	} {
+		t.Run(fault, func(t *testing.T) {
+			r := deployment(t)
+			before := r.log.replicas[0].state.Config().ServiceByName("scan-vault")
+			upstream := r.log.replicas[0].state.Config().Upstreams["h1"]
+			c.change(r, r.hosts["h1"])
+			r.g.Expect(r.heartbeat(r.hosts["h1"]).Code).To(BeEquivalentTo(c.code))
+			after := r.log.replicas[0].state.Config()
+			r.g.Expect(after.ServiceByName("scan-vault")).To(Equal(before))
+			r.g.Expect(after.Upstreams["h1"]).To(Equal(upstream))
+		})
+	}
+}
+
+// Guards against an old process that takes the place of a newer one, also after a leader change.
+func TestStaleIncarnation(t *testing.T) {
+	r := deployment(t)
+	r.hosts["h1"].Incarnation = 5
+	r.g.Expect(r.heartbeat(r.hosts["h1"]).Code).To(BeZero())
+	r.log.setLeader(2)
+	r.ticks()
+	r.hosts["h1"].Incarnation = 4
+	res := r.heartbeat(r.hosts["h1"])
+	r.g.Expect(res.Code).To(BeEquivalentTo(result.AnnounceStale))
+	r.g.Expect(res.LeaseMs).To(BeZero())
+}
+
+// Guards against a leaving host that is told to stop before its work has ended, or that leaves a service without an
+// active upstream.
+func TestLeavingHost(t *testing.T) {
+	r := deployment(t)
+	h3, h4 := r.hosts["h3"], r.hosts["h4"]
+	h3.Leaving, h3.OpenFlows = true, 1
+	r.settle(2)
+	r.g.Expect(r.heartbeat(h3).Drained).To(BeFalse())
+	h4.Leaving = true
+	res := r.heartbeat(h4)
+	r.g.Expect(res.Detail).To(ContainSubstring("last active"))
+	r.g.Expect(res.Drained).To(BeFalse())
+	svc := r.log.replicas[0].state.Config().ServiceByName("scan-vault")
+	r.g.Expect(svc.Members).To(Equal([]model.Member{{Host: "h3", State: model.UpstreamDraining}, {Host: "h4", State: model.UpstreamActive}}))
+	h3.OpenFlows = 0
+	r.settle(2)
+	r.g.Expect(r.heartbeat(h3).Drained).To(BeTrue())
+}
+
+// Guards against a new leader that declares hosts lost because it has not heard them yet, and against one that never
+// does.
+func TestNewLeaderWaitsAFullLease(t *testing.T) {
+	r := deployment(t)
+	for _, host := range []string{"h2", "h3", "e1", "e2"} {
+		r.hosts[host].Unreachable = []string{"h1"}
+	}
+	h1 := r.hosts["h1"]
+	delete(r.hosts, "h1")
+	r.settle(4)
+	r.log.setLeader(1)
+	r.ticks()
+	r.settle(4)
+	member := func() model.UpstreamState {
+		return r.log.replicas[1].state.Config().ServiceByName("sample-book").Members[0].State
+	}
+	r.g.Expect(member()).To(Equal(model.UpstreamActive))
+	r.settle(3)
+	r.g.Expect(member()).To(Equal(model.UpstreamLost))
+	r.g.Expect(r.heartbeat(h1).LeaseMs).To(BeZero())
+	r.hosts["h1"] = h1
+	for _, host := range []string{"h2", "h3", "e1", "e2"} {
+		r.hosts[host].Unreachable = nil
+	}
+	r.settle(8)
+	r.g.Expect(member()).To(Equal(model.UpstreamLost), "returned before the stable period")
+	r.settle(5)
+	r.g.Expect(member()).To(Equal(model.UpstreamActive))
+	r.g.Expect(r.heartbeat(h1).LeaseMs).To(BeEquivalentTo(5 * time.Second / time.Millisecond))
+}
