Print the signed report in the walkthrough and move the callers' load into a stand-in

Cause: the separate-process walk needs the same load as the walkthrough, and the walkthrough did not show the report.

--- a/examples/walkthrough/deployment.go
+++ b/examples/walkthrough/deployment.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -91,11 +90,9 @@
 	agents   map[model.HostID]*vm
 	backends map[model.HostID]*backend.HTTP
 	servers  []settings.ControlServer
-	callers  []*caller.Host
 	ada      *operator.Client
 	logs     *os.File
 	logger   log.Logger
-	mu       sync.Mutex
 }
 
 func (p plan) address(group, number, port int) netip.AddrPort {
@@ -304,24 +301,17 @@
 	return fmt.Errorf("leader %q is no control VM", leader)
 }
 
-// newCaller starts a caller's machine.
-func (d *deployment) newCaller(number int) (*caller.Host, error) {
-	addr := netip.AddrFrom4([4]byte{10, d.plan.network, 100 + byte(number/200), byte(number%200 + 1)})
-	h, err := caller.New(addr, d.fabric)
-	if err != nil {
-		return nil, err
+// upstreams returns the upstream processes.
+func (d *deployment) upstreams() []*backend.HTTP {
+	var out []*backend.HTTP
+	for _, b := range d.backends {
+		out = append(out, b)
 	}
-	d.mu.Lock()
-	d.callers = append(d.callers, h)
-	d.mu.Unlock()
-	return h, nil
+	return out
 }
 
-// close ends everything, callers first.
+// close ends everything.
 func (d *deployment) close() error {
-	for _, h := range d.callers {
-		h.Close()
-	}
 	all := append([]*vm{}, d.entries...)
 	for _, m := range d.agents {
 		all = append(all, m)
--- a/examples/walkthrough/walk.go
+++ b/examples/walkthrough/walk.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
+	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/plantainseam/plantainseam/internal/report"
 	"github.com/plantainseam/plantainseam/rpc/intentpb"
+	"github.com/plantainseam/plantainseam/standin/caller"
+	"github.com/plantainseam/plantainseam/standin/load"
 )
 
 // drainDeadline is that of the retired host and the closed service.
@@ -15,12 +19,11 @@
 
 // outcome is what a walk found.
 type outcome struct {
-	plan    plan
-	tally   *tally
-	doubled int // keys that ran more than once
-	missing int // keys that were answered and did not run
-	steps   []string
-	report  []byte
+	plan   plan
+	tally  *load.Tally
+	runs   load.Runs
+	steps  []string
+	report []byte
 }
 
 // walk runs one deployment from start to close.
@@ -34,14 +37,15 @@
 			err = closed
 		}
 	}()
-	out = &outcome{plan: p, tally: &tally{}}
+	out = &outcome{plan: p, tally: &load.Tally{}}
 	if err := d.createServices(ctx, out); err != nil {
 		return out, err
 	}
-	first, err := d.newCaller(1)
+	first, err := caller.New(netip.AddrFrom4([4]byte{10, p.network, 99, 1}), d.fabric)
 	if err != nil {
 		return out, err
 	}
+	defer first.Close()
 	for _, svc := range []service{p.requests, p.images} {
 		if err := d.waitUntilServed(ctx, first, svc); err != nil {
 			return out, err
@@ -51,7 +55,7 @@
 	if err := d.underTraffic(ctx, o, out); err != nil {
 		return out, err
 	}
-	out.checkRuns(d)
+	out.runs = out.tally.CheckRuns(d.upstreams())
 	return out, d.closeImages(ctx, out)
 }
 
@@ -79,12 +83,18 @@
 func (d *deployment) underTraffic(ctx context.Context, o options, out *outcome) error {
 	running, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	callers, err := d.load(running, o.Seed, out.tally)
+	target := load.Target{
+		Network: d.fabric, Prefix: d.plan.network, Requests: d.plan.requests.frontend, Images: d.plan.images.frontend,
+	}
+	wait, err := load.Start(running, target, o.Seed, out.tally)
+	finish := sync.OnceFunc(func() {
+		cancel()
+		wait()
+	})
+	defer finish()
 	if err != nil {
 		return err
 	}
-	defer callers.Wait()
-	defer cancel()
 	time.Sleep(o.Duration / 8)
 
 	retired := hostName(d.plan.requests, 1)
@@ -109,7 +119,8 @@
 	}
 	out.step("the leader of the control VMs was lost")
 
-	callers.Wait()
+	<-running.Done()
+	finish()
 	awaiting, done := context.WithTimeout(ctx, startTimeout)
 	defer done()
 	in, err = d.ada.Await(awaiting, in.Id)
@@ -123,22 +134,6 @@
 	return nil
 }
 
-// checkRuns compares what callers were told with what the upstream processes ran.
-func (o *outcome) checkRuns(d *deployment) {
-	for _, key := range o.tally.keys {
-		runs := 0
-		for _, b := range d.backends {
-			runs += b.Runs(key)
-		}
-		switch {
-		case runs == 0:
-			o.missing++
-		case runs > 1:
-			o.doubled++
-		}
-	}
-}
-
 // closeImages closes the image service and fetches its report.
 func (d *deployment) closeImages(ctx context.Context, out *outcome) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -156,31 +151,19 @@
 }
 
 // clean tells whether every promise was kept.
-func (o *outcome) clean() bool {
-	t := o.tally
-	return t.brokenFlows.Load() == 0 && t.lost.Load() == 0 && t.unknown.Load() == 0 && t.wrong.Load() == 0 &&
-		t.cutImages.Load() == 0 && o.doubled == 0 && o.missing == 0 && t.answered.Load() > 0 && t.images.Load() > 0 &&
-		t.issued.Load() == t.answered.Load()+t.refused.Load()
-}
+func (o *outcome) clean() bool { return o.tally.Clean() && o.runs == load.Runs{} }
 
 func (o *outcome) print(w io.Writer) {
-	t := o.tally
 	fmt.Fprintf(w, "%s\n", o.plan.name)
 	for _, s := range o.steps {
 		fmt.Fprintf(w, "  - %s\n", s)
 	}
-	fmt.Fprintf(w, "  flows: opened %d, broken %d\n", t.flows.Load(), t.brokenFlows.Load())
-	fmt.Fprintf(w, "  requests: issued %d = answered %d + refused as not run %d + unknown %d + lost %d + wrong %d\n",
-		t.issued.Load(), t.answered.Load(), t.refused.Load(), t.unknown.Load(), t.lost.Load(), t.wrong.Load())
-	fmt.Fprintf(w, "  keyed requests: answered %d, run twice %d, answered without a run %d\n", len(t.keys), o.doubled, o.missing)
-	fmt.Fprintf(w, "  images: asked for %d, truncated or missing %d\n", t.images.Load(), t.cutImages.Load())
-	if len(o.report) > 0 {
-		var fields map[string]any
-		if json.Unmarshal(o.report, &fields) == nil {
-			fmt.Fprintf(w, "  report of %s: %d bytes, signed by the system\n", o.plan.images.name, len(o.report))
-		}
+	o.tally.Write(w, o.runs)
+	if len(o.report) == 0 {
+		return
 	}
-	for _, f := range t.failures {
-		fmt.Fprintf(w, "  ! %s\n", f)
+	fmt.Fprintf(w, "  report of %s:\n", o.plan.images.name)
+	if r, err := report.Parse(o.report); err == nil {
+		_ = r.WriteText(w)
 	}
 }
