--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -82,6 +82,7 @@
 		{"confirm", "start a plan that you have read", &confirm{app: a}},
 		{"show", "show an intent, its plan and its progress", &show{app: a}},
 		{"list", "list intents and the configuration in force at each VM", &list{app: a}},
+		{"leader", "print the RPC address of the leading control VM", &leader{app: a}},
 		{"pause", "pause a running plan", &pause{app: a}},
 		{"resume", "continue a paused plan", &resume{app: a}},
 		{"abort", "end a plan and restore what can be restored", &abort{app: a}},
--- a/internal/cli/intents.go
+++ b/internal/cli/intents.go
@@ -184,3 +184,17 @@
 	}
 	return len(resp.InForce) > 0
 }
+
+type leader struct{ app *app }
+
+// Execute implements flags.Commander.
+func (c *leader) Execute([]string) error {
+	return c.app.connected(func(s session) error {
+		address, err := s.client.Leader(s.ctx)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintln(c.app.out, address)
+		return err
+	})
+}
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -53,8 +53,11 @@
 }
 
 // NewHTTP starts a server on a loopback port.
-func NewHTTP(name string, slots int) (*HTTP, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func NewHTTP(name string, slots int) (*HTTP, error) { return ListenHTTP("127.0.0.1:0", name, slots) }
+
+// ListenHTTP starts a server on the given address.
+func ListenHTTP(address, name string, slots int) (*HTTP, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("http server: %w", err)
 	}
