Balance the report: issued work against its ends

Cause: the report counted the starts of flows as ends with an unknown code, so its totals were doubled and half of them broken. Change: starts are the issued term; work without a reported end is unknown and listed as unreported; ends without a start are shown as a fault of the account. The classes of codes come from the account package, where they stood twice.

--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"github.com/plantainseam/plantainseam/internal/account"
 	"github.com/plantainseam/plantainseam/internal/catalog"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
@@ -64,10 +65,16 @@
 	}
 }
 
+// started is the code of totals that count starts and not ends.
+const started = uint32(account.CodeStarted)
+
 // Outcome returns the name of a result code as the report prints it.
 func Outcome(code uint32) string {
-	if code == 0 {
+	switch code {
+	case 0:
 		return "completed"
+	case started:
+		return "started"
 	}
 	return result.Code(code).String()
 }
@@ -142,18 +149,21 @@
 	classUnknown
 )
 
-func classOf(code uint32) class {
-	switch c := result.Code(code); {
-	case c == result.OK:
-		return classNormal
-	case c == result.RequestOutcomeUnknown, c == result.FlowOwnerLost:
+func classOf(unit string, code uint32) class {
+	u, err := account.ParseUnit(unit)
+	if err != nil {
 		return classUnknown
-	case c >= 3001 && c <= 3099, c == result.RequestKeyMismatch:
-		return classRefused
-	case c == result.FlowTableFull, c == result.FlowHalfOpenFull, c == result.FlowServiceClosing,
-		c == result.FlowUpstreamRefused, c == result.FlowLeaseExpired:
+	}
+	c := result.Code(code)
+	switch account.ClassOf(u, c) {
+	case account.Answered:
+		return classNormal
+	case account.Refused:
 		return classRefused
 	}
+	if c == result.RequestOutcomeUnknown || c == result.FlowOwnerLost {
+		return classUnknown
+	}
 	return classBroken
 }
 
@@ -167,14 +177,18 @@
 	}
 	var out []Total
 	for _, unit := range slices.Sorted(maps.Keys(byUnit)) {
+		byUnit[unit].settle()
 		out = append(out, *byUnit[unit])
 	}
 	return out
 }
 
 func (t *Total) add(s Sum) {
-	t.Ended += s.Count
-	switch classOf(s.Code) {
+	if s.Code == started {
+		t.Issued += s.Count
+		return
+	}
+	switch classOf(s.Unit, s.Code) {
 	case classNormal:
 		t.Normal += s.Count
 	case classRefused:
@@ -186,11 +200,33 @@
 	}
 }
 
+// settle compares the starts with the ends. Work that was started and whose end was never reported is unknown.
+func (t *Total) settle() {
+	ended := t.Normal + t.Refused + t.Broken + t.Unknown
+	if ended > t.Issued {
+		t.Excess = ended - t.Issued
+		return
+	}
+	t.Unreported = t.Issued - ended
+	t.Unknown += t.Unreported
+}
+
 // unknowns states every gap in what the report knows.
 func unknowns(svc *catalogpb.Service, changes []*catalogpb.Change, sums []Sum) []Unknown {
 	var out []Unknown
+	for _, t := range totals(sums) {
+		if t.Unreported > 0 {
+			out = append(out, Unknown{Text: fmt.Sprintf("the ends of these %ss were not reported", t.Unit), Count: t.Unreported})
+		}
+		if t.Excess > 0 {
+			out = append(out, Unknown{Text: fmt.Sprintf("the account is wrong: these ends of %ss have no start", t.Unit), Count: t.Excess})
+		}
+	}
 	for _, s := range sums {
-		if classOf(s.Code) == classUnknown && s.Count > 0 {
+		if s.Code == started {
+			continue
+		}
+		if classOf(s.Unit, s.Code) == classUnknown && s.Count > 0 {
 			out = append(out, Unknown{Text: fmt.Sprintf("the outcome of these %ss is unknown (%s)", s.Unit, s.Outcome), Count: s.Count})
 		}
 		if s.Unlisted > 0 {
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -36,8 +36,8 @@
 <h1>Closing report of {{.Service.Name}}</h1>
 <p>Service {{.Service.ID}}, {{.Service.Kind}} at {{.Service.Frontend}}, created {{time .Service.CreatedUnixMs}}, closed {{time .Service.ClosedUnixMs}}, revision {{.Service.Revision}}.</p>
 <h2>Totals</h2>
-<table><tr><th>unit</th><th>ended</th><th>normal</th><th>refused</th><th>broken</th><th>unknown</th></tr>
-{{range .Records}}{{with .Total}}<tr><td>{{.Unit}}</td><td>{{.Ended}}</td><td>{{.Normal}}</td><td>{{.Refused}}</td><td>{{.Broken}}</td><td>{{.Unknown}}</td></tr>
+<table><tr><th>unit</th><th>issued</th><th>normal</th><th>refused</th><th>broken</th><th>unknown</th><th>of these unreported</th></tr>
+{{range .Records}}{{with .Total}}<tr><td>{{.Unit}}</td><td>{{.Issued}}</td><td>{{.Normal}}</td><td>{{.Refused}}</td><td>{{.Broken}}</td><td>{{.Unknown}}</td><td>{{.Unreported}}</td></tr>
 {{end}}{{end}}</table>
 {{range .Plots}}<figure>{{.}}</figure>
 {{end}}<h2>Sums</h2>
@@ -89,7 +89,7 @@
 	var outcomes []bar
 	callers := map[string]uint64{}
 	for _, rec := range r.Records {
-		if rec.Sum != nil {
+		if rec.Sum != nil && rec.Sum.Code != started {
 			outcomes = append(outcomes, bar{clean(rec.Sum.Unit + " " + rec.Sum.Outcome), rec.Sum.Count})
 		}
 		if rec.Caller != nil {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -91,14 +91,17 @@
 	Unlisted uint64 `json:"unlisted"` // without a caller record
 }
 
-// Total is the exact count of one unit over all outcomes. Ended = Normal + Refused + Broken + Unknown.
+// Total is the exact count of one unit over all outcomes. Issued = Normal + Refused + Broken + Unknown, and Unknown
+// contains Unreported.
 type Total struct {
-	Unit    string `json:"unit"`
-	Ended   uint64 `json:"ended"`
-	Normal  uint64 `json:"normal"`  // answered, or closed normally
-	Refused uint64 `json:"refused"` // known not to have been run or accepted
-	Broken  uint64 `json:"broken"`  // known to have ended in another way
-	Unknown uint64 `json:"unknown"` // outcome unknown
+	Unit       string `json:"unit"`
+	Issued     uint64 `json:"issued"`
+	Normal     uint64 `json:"normal"`     // answered, or closed normally
+	Refused    uint64 `json:"refused"`    // known not to have been run or accepted
+	Broken     uint64 `json:"broken"`     // known to have ended in another way
+	Unknown    uint64 `json:"unknown"`    // outcome unknown
+	Unreported uint64 `json:"unreported"` // issued, and no end was ever reported
+	Excess     uint64 `json:"excess"`     // ends reported without a start; not 0 only if the account is wrong
 }
 
 // add appends a record to the chain.
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -31,10 +31,11 @@
 			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\n", clean(rec.Sum.Unit), clean(rec.Sum.Outcome), rec.Sum.Count, rec.Sum.Listed, rec.Sum.Unlisted)
 		}
 	}
-	section("Totals", "unit\tended\tnormal\trefused\tbroken\tunknown")
+	section("Totals", "unit\tissued\tnormal\trefused\tbroken\tunknown\tof these unreported")
 	for _, rec := range r.Records {
 		if rec.Total != nil {
-			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\n", clean(rec.Total.Unit), rec.Total.Ended, rec.Total.Normal, rec.Total.Refused, rec.Total.Broken, rec.Total.Unknown)
+			fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\n", clean(rec.Total.Unit), rec.Total.Issued, rec.Total.Normal,
+				rec.Total.Refused, rec.Total.Broken, rec.Total.Unknown, rec.Total.Unreported)
 		}
 	}
 	section("Unknown", "what\tcount")
