Order the statements of an owner and refuse older ones

A Register that was sent before its flow ended arrived after the home had assigned a new flow of the same port, and replaced its owner. Change: Register, Answer, Decline and Release carry one sequence per run; a home ignores older ones. A retransmitted Register leaves out flows that ended. A decision of the home itself is never replaced, and a member that returns after it was lost loses conflicts until it has sealed. TestLateRegister keeps the case; tests for late messages, the contract, determinism and returning members are new. Conclusion: longer random runs have to confirm it.

--- a/internal/flow/assign.go
+++ b/internal/flow/assign.go
@@ -305,7 +305,7 @@
 	m.tombs.add(now, k)
 	msg := Decline{
 		Service: svc.id, HomeIncarnation: m.byPeer[home].incarnation, Caller: p.Key.Caller, Code: code,
-		Generation: svc.generation, Hops: p.Hops,
+		Generation: svc.generation, Sequence: m.nextSequence(), Hops: p.Hops,
 	}
 	if p.Flags&FlagSYN != 0 {
 		msg.SYN = append([]byte(nil), p.Raw...)
@@ -320,7 +320,7 @@
 		return out
 	}
 	b := svc.bucket(msg.Caller)
-	if svc.homes[b] != selfPeer || msg.Generation < svc.since[b] {
+	if !from.hear(msg.Sequence) || svc.homes[b] != selfPeer || msg.Generation < svc.since[b] {
 		return out
 	}
 	k := pack(svc.index, msg.Caller)
--- a/internal/flow/claim.go
+++ b/internal/flow/claim.go
@@ -301,7 +301,9 @@
 		}
 		return out
 	}
-	a := Answer{Service: svc.id, Generation: msg.Generation, Incarnation: from.incarnation, Audit: msg.Audit}
+	a := Answer{
+		Service: svc.id, Generation: msg.Generation, Incarnation: from.incarnation, Sequence: m.nextSequence(), Audit: msg.Audit,
+	}
 	if msg.Generation > svc.generation {
 		out = m.fetch(now, out)
 	}
@@ -341,7 +343,7 @@
 // onAnswer records the owner of a flow or that a member does not own it.
 func (m *machine) onAnswer(now time.Time, from *peer, msg Answer, out []Action) []Action {
 	svc := m.services[msg.Service]
-	if svc == nil || svc.cfg == nil || msg.Incarnation != m.cfg.Self.Incarnation {
+	if svc == nil || svc.cfg == nil || msg.Incarnation != m.cfg.Self.Incarnation || !from.hear(msg.Sequence) {
 		return out
 	}
 	if msg.Stale {
@@ -350,7 +352,7 @@
 	for _, caller := range msg.Owned {
 		k, b := pack(svc.index, caller), svc.bucket(caller)
 		if svc.homes[b] == selfPeer && msg.Generation >= svc.since[b] && !msg.Audit {
-			m.recordOwner(svc, k, b, from.index)
+			m.recordOwner(svc, svc.seat(from.index), k, b, from.index)
 			out = m.settleKey(now, svc, k, out)
 		}
 	}
--- /dev/null
+++ b/internal/flow/contract_test.go
@@ -0,0 +1,264 @@
+package flow_test
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/flow"
+	"github.com/plantainseam/plantainseam/internal/flow/wire"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+)
+
+// Guards against a machine that breaks the promises of the Machine interface.
+func TestMachineContract(t *testing.T) {
+	syn := func(i int) flow.Packet {
+		return flow.Packet{Key: benchKey(i), Flags: flow.FlagSYN, Generation: 1, Raw: []byte("syn")}
+	}
+	cases := map[string]func(g *WithT, m flow.Machine){
+		"actions are appended": func(g *WithT, m flow.Machine) {
+			out := m.Packet(start, syn(1), []flow.Action{{Kind: flow.ActionFetch}})
+			g.Expect(out).To(HaveLen(2))
+			g.Expect(out[0].Kind).To(Equal(flow.ActionFetch))
+			g.Expect(out[1].Kind).To(Equal(flow.ActionDeliver))
+		},
+		"an older configuration is ignored": func(g *WithT, m flow.Machine) {
+			n := newNetwork(t, 1, "h1")
+			g.Expect(m.Apply(start, n.configs[0], n.tables[0], nil)).To(BeEmpty())
+			g.Expect(m.Packet(start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
+		},
+		"a repeated SYN reaches the same owner": func(g *WithT, m flow.Machine) {
+			for range 3 {
+				g.Expect(m.Packet(start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
+			}
+			g.Expect(m.Stats()).To(Equal(flow.Stats{Owned: 1, HalfOpen: 1}))
+		},
+		"an established flow leaves the half-open table": func(g *WithT, m flow.Machine) {
+			m.Packet(start, syn(1), nil)
+			m.Established(benchKey(1))
+			m.Established(benchKey(1))
+			m.Established(benchKey(2))
+			g.Expect(m.Stats()).To(Equal(flow.Stats{Owned: 1}))
+		},
+		"a closed flow is forgotten once": func(g *WithT, m flow.Machine) {
+			m.Packet(start, syn(1), nil)
+			m.Established(benchKey(1))
+			m.Closed(start, benchKey(1))
+			m.Closed(start, benchKey(1))
+			g.Expect(m.Stats()).To(BeZero())
+			data := flow.Packet{Key: benchKey(1), Generation: 1}
+			g.Expect(m.Packet(start, data, nil)[0].Kind).To(Equal(flow.ActionReset))
+		},
+		"a reset is not answered with a reset": func(g *WithT, m flow.Machine) {
+			p := flow.Packet{Key: benchKey(1), Flags: flow.FlagRST, Generation: 1}
+			g.Expect(m.Packet(start, p, nil)[0].Kind).To(Equal(flow.ActionDrop))
+		},
+		"a half-open flow expires": func(g *WithT, m flow.Machine) {
+			m.Packet(start, syn(1), nil)
+			out := m.Tick(start.Add(31*time.Second), nil)
+			g.Expect(out).To(HaveLen(1))
+			g.Expect(out[0].Kind).To(Equal(flow.ActionCloseLocal))
+			g.Expect(out[0].Packet.Key).To(Equal(benchKey(1)))
+			g.Expect(m.Stats()).To(BeZero())
+		},
+		"without a lease no flow is accepted": func(g *WithT, m flow.Machine) {
+			m.SetLocal(flow.Local{})
+			out := m.Packet(start, syn(1), nil)
+			g.Expect(out[0].Kind).To(Equal(flow.ActionDrop))
+			g.Expect(out[0].Code).To(Equal(result.FlowLeaseExpired))
+		},
+		"a closing service refuses new flows and keeps old ones": func(g *WithT, m flow.Machine) {
+			m.Packet(start, syn(1), nil)
+			n := newNetwork(t, 1, "h1")
+			revision := n.change(func(_ *model.Snapshot, svc *model.Service) { svc.Closing = true })
+			m.Apply(start, n.configs[revision], n.tables[revision], nil)
+			g.Expect(m.Packet(start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
+			g.Expect(m.Packet(start, syn(2), nil)[0].Code).To(Equal(result.FlowServiceClosing))
+		},
+		"unknown and foreign messages are ignored": func(g *WithT, m flow.Machine) {
+			from := model.HostRef{Host: "elsewhere", Incarnation: 1}
+			for _, msg := range []flow.Message{
+				flow.Register{Service: 99, Seal: true}, flow.RegisterAck{Service: serviceID}, flow.Load{Service: 99},
+				flow.Answer{Service: serviceID, Incarnation: 1}, flow.Release{Service: serviceID},
+			} {
+				g.Expect(m.Message(start, from, msg, nil)).To(BeEmpty())
+			}
+		},
+		"IPv6 callers have flows of their own": func(g *WithT, m flow.Machine) {
+			p := syn(1)
+			p.Key.Caller = netip.MustParseAddrPort("[2001:db8::7]:4002")
+			m.Packet(start, p, nil)
+			m.Established(p.Key)
+			p.Flags = 0
+			g.Expect(m.Packet(start, p, nil)[0].Kind).To(Equal(flow.ActionDeliver))
+			p.Key.Caller = netip.MustParseAddrPort("[2001:db8::8]:4002")
+			g.Expect(m.Packet(start, p, nil)[0].Kind).To(Equal(flow.ActionReset))
+		},
+	}
+	for name, check := range cases {
+		t.Run(name, func(t *testing.T) { check(NewWithT(t), soloMachine(100)) })
+	}
+}
+
+// Guards against outputs that depend on anything but the inputs, such as the order of a map.
+func TestMachineIsDeterministic(t *testing.T) {
+	history := func() *network {
+		n := newNetwork(t, 3, hosts...)
+		for i := range 50 {
+			n.setLocal(hosts[i%4], flow.Local{AcceptNew: i%3 != 0})
+			n.connect(i, i%3)
+		}
+		n.restart("h2")
+		n.moveHome(&caller{key: callerKey(1)})
+		for range 4 {
+			n.tick()
+		}
+		return n
+	}
+	a, b := history(), history()
+	if !reflect.DeepEqual(a.queue, b.queue) || !reflect.DeepEqual(a.drops, b.drops) {
+		t.Fatalf("two runs of one history differ")
+	}
+}
+
+// inject delivers a message as if it had been under way.
+func (n *network) inject(from model.HostRef, to model.HostID, m flow.Message) {
+	data, err := wire.Encode(m)
+	if err != nil {
+		n.t.Fatalf("encode: %v", err)
+	}
+	n.queue = append(n.queue, parcel{to: to, from: from, data: data})
+	n.run(time.Second)
+}
+
+// Guards against late messages about an earlier flow or an earlier run that delete the redirect to a live owner: the
+// home would accept the next SYN as a second owner.
+func TestLateMessages(t *testing.T) {
+	const late, newer = false, true
+	for name, c := range map[string]struct {
+		generation  bool // of the message
+		sequence    uint32
+		incarnation model.Incarnation // of the sender
+		home        model.Incarnation // that the message is for
+		deleted     bool              // whether the redirect must be deleted
+	}{
+		"current":                      {newer, 1 << 20, 1, 1, true},
+		"of an earlier generation":     {late, 1 << 20, 1, 1, false},
+		"of an earlier run":            {newer, 1 << 20, 0, 1, false},
+		"sent before a newer message":  {newer, 1, 1, 1, false},
+		"sent to an earlier home run":  {newer, 1 << 20, 1, 0, false},
+		"late and of an earlier run":   {late, 1, 0, 1, false},
+		"late and to an earlier home":  {late, 1 << 20, 1, 0, false},
+		"old sequence, late":           {late, 1, 1, 1, false},
+		"old sequence, earlier run":    {newer, 1, 0, 1, false},
+		"old sequence to earlier home": {newer, 1, 1, 0, false},
+	} {
+		for kind := range 3 {
+			if kind == 0 && c.home == 0 {
+				continue // a Release names no run of the home
+			}
+			t.Run(fmt.Sprintf("%s/%d", name, kind), func(t *testing.T) {
+				n := newNetwork(t, 2, hosts...)
+				flowOf := n.assigned()
+				n.state("h1", model.UpstreamDraining)
+				n.applyAll()
+				n.run(time.Second)
+				generation := model.Revision(n.newest())
+				n.state("h1", model.UpstreamActive)
+				n.applyAll()
+				n.run(time.Second)
+				if c.generation == newer {
+					generation = model.Revision(n.newest())
+				}
+				callers := []netip.AddrPort{flowOf.key.Caller}
+				msg := []flow.Message{
+					flow.Release{Service: serviceID, Generation: generation, Sequence: c.sequence, Callers: callers},
+					flow.Decline{
+						Service: serviceID, HomeIncarnation: c.home, Caller: callers[0], Generation: generation,
+						Sequence: c.sequence,
+					},
+					flow.Answer{
+						Service: serviceID, Generation: generation, Incarnation: c.home, Sequence: c.sequence, Free: callers,
+						Audit: true,
+					},
+				}[kind]
+				from := model.HostRef{Host: flowOf.owner.Host, Incarnation: c.incarnation}
+				n.inject(from, "h1", msg)
+				if got := n.agents["h1"].Stats().Redirects == 0; got != c.deleted {
+					t.Fatalf("redirect deleted: %v, want %v", got, c.deleted)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a member that lets an outdated home act.
+func TestQueryOfOutdatedHome(t *testing.T) {
+	n := newNetwork(t, 1, hosts...)
+	c := &caller{key: callerKey(n.homedAt("h1"))}
+	first := n.newest()
+	n.state("h1", model.UpstreamDraining)
+	n.applyAll()
+	second, h2 := n.newest(), n.home(c, n.newest())
+	n.state("h1", model.UpstreamActive)
+	n.applyAll()
+	member := model.HostID("h3")
+	if h2 == member {
+		member = "h4"
+	}
+	for name, q := range map[string]struct {
+		from       model.HostID
+		generation int
+		free       bool
+	}{
+		"earlier time of the home": {"h1", first, false},
+		"earlier home":             {h2, second, false},
+		"not the home":             {h2, n.newest(), false},
+		"home":                     {"h1", n.newest(), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			out := n.agents[member].Message(n.now, n.agents[q.from].ref, flow.Query{
+				Service: serviceID, Generation: model.Revision(q.generation), Callers: []netip.AddrPort{c.key.Caller},
+			}, nil)
+			g.Expect(out).To(HaveLen(1))
+			answer := out[0].Message.(flow.Answer)
+			g.Expect(len(answer.Free) == 1).To(Equal(q.free))
+			g.Expect(answer.Stale).To(Equal(!q.free))
+		})
+	}
+}
+
+// Guards against two owners after a member returns that was lost so long that its callers connected again, and against
+// the loss of its idle flows.
+func TestLostMemberReturns(t *testing.T) {
+	n := newNetwork(t, 2, hosts...)
+	idle := n.connect(n.homedAt("h3"), 0)
+	reused := n.assigned()
+	lost := reused.owner.Host
+	n.setLocal(lost, flow.Local{AcceptNew: false})
+	revision := n.state(lost, model.UpstreamLost)
+	n.agents[lost].alive = false // isolated: it neither sends nor receives
+	n.applyAll()
+	n.run(16 * time.Second)
+	second := n.connect(int(reused.key.Caller.Port())-20000+5000, 0)
+	if !second.established || second.owner.Host == lost {
+		t.Fatalf("the caller cannot connect again: %+v", second)
+	}
+	n.agents[lost].alive = true
+	n.apply(lost, revision)
+	n.state(lost, model.UpstreamActive)
+	n.applyAll()
+	n.run(2 * time.Second)
+	if owners := n.owners(reused.key); len(owners) != 1 || owners[0] != second.owner.Host {
+		t.Fatalf("owners %v, want %s", owners, second.owner.Host)
+	}
+	if !n.reaches(idle, 1) {
+		t.Fatalf("an idle flow was lost")
+	}
+}
--- a/internal/flow/fault_test.go
+++ b/internal/flow/fault_test.go
@@ -378,3 +378,35 @@
 	n.run(5 * time.Second)
 	g.Expect(n.agents["h1"].Stats().Redirects).To(BeZero())
 }
+
+// Guards against a registration that was sent before its flow ended and arrives after the home has assigned a new flow of
+// the same caller port. Found by TestRandomSchedules (20,000 schedules, seed 2): the home replaced the live owner.
+func TestLateRegister(t *testing.T) {
+	n := newNetwork(t, 2, hosts...)
+	i := n.homedAt("h1")
+	n.state("h1", model.UpstreamDraining)
+	n.applyAll()
+	n.run(time.Second)
+	first := n.connect(i, 0)
+	n.state("h1", model.UpstreamActive)
+	n.entries[0], n.entries[1] = n.newest(), n.newest()
+	n.queue = nil
+	n.apply(first.owner.Host, n.newest())
+	n.tick()
+	late := n.queue
+	n.queue = nil
+	n.close(first)
+	n.apply("h1", n.newest())
+	n.setLocal("h1", flow.Local{AcceptNew: false})
+	n.applyAll()
+	n.run(time.Second)
+	second := n.connect(i, 0)
+	if !second.established || second.owner == first.owner {
+		t.Fatalf("the caller cannot connect again: %+v", second)
+	}
+	n.queue = append(n.queue, late...)
+	n.run(time.Second)
+	if !n.reaches(second, 1) {
+		t.Fatalf("the flow does not reach its owner; drops %v resets %v", n.drops, n.resets)
+	}
+}
--- a/internal/flow/machine.go
+++ b/internal/flow/machine.go
@@ -33,7 +33,7 @@
 	behind    []held // packets of a newer generation than the agent's
 	tombs     tombstones
 	releases  []peerFlow
-	sequence  uint32    // of the last Register
+	sequence  uint32    // of the last statement about own flows
 	wasCold   bool      // at the last report of the load
 	warmSince time.Time // when the host stopped being cold
 
@@ -169,6 +169,12 @@
 	return append(out, Action{Kind: ActionSend, To: m.byPeer[to].host, Message: msg})
 }
 
+// nextSequence numbers a statement about own flows.
+func (m *machine) nextSequence() uint32 {
+	m.sequence++
+	return m.sequence
+}
+
 // fetch asks for a newer configuration, at most once per fetchInterval.
 func (m *machine) fetch(now time.Time, out []Action) []Action {
 	if now.Sub(m.fetchedAt) < fetchInterval {
--- a/internal/flow/messages.go
+++ b/internal/flow/messages.go
@@ -15,7 +15,7 @@
 	Service         model.ServiceID
 	Generation      model.Revision    // generation in force at the sender
 	HomeIncarnation model.Incarnation // run of the home that this registration is for
-	Sequence        uint32
+	Sequence        uint32            // see Sequence in Answer; a retransmission gets a new one
 	Callers         []netip.AddrPort
 	// Seal says that every flow of the home's buckets has now been registered, and promises to act for them only under
 	// Generation or a later one.
@@ -47,8 +47,11 @@
 	Incarnation model.Incarnation // run of the home that asked
 	Owned       []netip.AddrPort
 	Free        []netip.AddrPort // not owned, and not accepted later under an older generation
-	Stale       bool             // the sender knows a newer generation with another home; Free is empty
-	Audit       bool
+	// Sequence orders everything that one run of an agent says about its flows: Register, Answer, Decline and Release. A
+	// home ignores what is older than what it has heard, because it may have acted on the newer statement.
+	Sequence uint32
+	Stale    bool // the sender knows a newer generation with another home; Free is empty
+	Audit    bool
 }
 
 // Decline tells a home that the sender does not own a flow that was forwarded to it, and will not accept a delayed copy
@@ -59,6 +62,7 @@
 	Caller          netip.AddrPort
 	Code            result.Code // why the flow was declined
 	Generation      model.Revision
+	Sequence        uint32
 	Hops            uint8
 	SYN             []byte // the caller's packet when it was a SYN; the home assigns it again without a retransmission
 }
@@ -67,6 +71,7 @@
 type Release struct {
 	Service    model.ServiceID
 	Generation model.Revision // generation in force at the sender
+	Sequence   uint32
 	Callers    []netip.AddrPort
 }
 
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -51,6 +51,16 @@
 	index       uint16
 	host        model.HostID
 	incarnation model.Incarnation // newest run seen in a configuration or message; 0 when unknown
+	heard       uint32            // sequence of the newest statement of that run
+}
+
+// hear reports whether a statement is newer than all that were heard, and remembers it.
+func (p *peer) hear(sequence uint32) bool {
+	if sequence <= p.heard {
+		return false
+	}
+	p.heard = sequence
+	return true
 }
 
 // peer returns the entry of a host, or nil when no more peers can be numbered.
@@ -74,7 +84,7 @@
 		return
 	}
 	restarted := p.incarnation != 0
-	p.incarnation = incarnation
+	p.incarnation, p.heard = incarnation, 0
 	if !restarted {
 		return
 	}
--- a/internal/flow/register.go
+++ b/internal/flow/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/model"
@@ -22,8 +23,8 @@
 	active   bool // the peer is the home of a bucket
 	queue    []packed
 	inflight []packed
-	waiting  bool // for the acknowledgement of sequence
-	sequence uint32
+	waiting  bool              // for the acknowledgement of the Register in flight
+	first    uint32            // sequence of the first copy of the Register in flight
 	home     model.Incarnation // run of the home that the Register in flight is for
 	seal     bool              // the Register in flight carries the seal
 	sealed   bool              // the home has acknowledged the seal
@@ -99,14 +100,14 @@
 			return out
 		}
 		x.tries++
+		x.inflight = slices.DeleteFunc(x.inflight, func(k packed) bool { return !m.owns(k) })
 		return m.sendRegister(now, svc, s, out)
 	}
 	x.queue = m.fillInflight(svc, s, x.queue)
 	if len(x.inflight) == 0 && x.sealed {
 		return out
 	}
-	m.sequence++
-	x.waiting, x.sequence, x.tries = true, m.sequence, 0
+	x.waiting, x.first, x.tries = true, m.sequence+1, 0
 	x.home = home.incarnation
 	x.seal = len(x.queue) == 0
 	return m.sendRegister(now, svc, s, out)
@@ -136,7 +137,7 @@
 		callers[i] = k.caller()
 	}
 	return m.send(s.peer, Register{
-		Service: svc.id, Generation: svc.generation, HomeIncarnation: x.home, Sequence: x.sequence, Callers: callers,
+		Service: svc.id, Generation: svc.generation, HomeIncarnation: x.home, Sequence: m.nextSequence(), Callers: callers,
 		Seal: x.seal,
 	}, out)
 }
@@ -150,7 +151,7 @@
 		}
 		return out
 	}
-	if msg.HomeIncarnation != m.cfg.Self.Incarnation {
+	if msg.HomeIncarnation != m.cfg.Self.Incarnation || !from.hear(msg.Sequence) {
 		return out
 	}
 	seat := svc.seat(from.index)
@@ -161,7 +162,7 @@
 		if svc.homes[b] != selfPeer {
 			continue
 		}
-		ok, full := m.recordOwner(svc, k, b, from.index)
+		ok, full := m.recordOwner(svc, seat, k, b, from.index)
 		if full {
 			return out
 		}
@@ -171,7 +172,7 @@
 		out = m.settleKey(now, svc, k, out)
 	}
 	if msg.Seal && seat != nil && msg.Generation > seat.sealed {
-		seat.sealed = msg.Generation
+		seat.sealed, seat.returned = msg.Generation, false
 		out = m.settleAll(now, svc, out)
 	}
 	return m.send(from.index, RegisterAck{
@@ -188,14 +189,18 @@
 	return m.snapshot.Revision
 }
 
-// recordOwner installs a redirect to a member that says it owns the flow. A conflict arises only when that member was
-// lost and the flow has been accepted elsewhere since; then the newer owner keeps it.
-func (m *machine) recordOwner(svc *service, k packed, b uint32, owner uint16) (ok, full bool) {
+// recordOwner installs a redirect to a member that says it owns the flow. Another record of the flow is outdated when it
+// was neither made by this home's own decision nor confirmed since the agent became the home. Otherwise the member was
+// lost and the flow was accepted elsewhere in the meantime; then the newer owner keeps it.
+func (m *machine) recordOwner(svc *service, from *seat, k packed, b uint32, owner uint16) (ok, full bool) {
 	if m.owns(k) {
 		return false, false
 	}
 	if other, known := m.redirect(k); known && other != owner {
-		if s := svc.seat(other); s != nil && !s.gone() && !svc.missing(s, b) {
+		_, pending := m.halfOpen.get(k)
+		s := svc.seat(other)
+		confirmed := s != nil && !s.gone() && !svc.missing(s, b)
+		if pending || confirmed || from != nil && from.returned {
 			return false, false
 		}
 	}
@@ -212,7 +217,7 @@
 		out = m.fetch(now, out)
 	}
 	s := svc.seat(from.index)
-	if s == nil || !s.session.waiting || s.session.sequence != msg.Sequence || s.session.home != from.incarnation {
+	if s == nil || !s.session.waiting || msg.Sequence < s.session.first || msg.Sequence > m.sequence || s.session.home != from.incarnation {
 		return out
 	}
 	x := &s.session
@@ -248,7 +253,9 @@
 // sendReleases tells the homes about ended flows.
 func (m *machine) sendReleases(out []Action) []Action {
 	m.groupByPeer(m.releases, func(to uint16, svc *service, callers []netip.AddrPort) {
-		out = m.send(to, Release{Service: svc.id, Generation: svc.generation, Callers: callers}, out)
+		out = m.send(to, Release{
+			Service: svc.id, Generation: svc.generation, Sequence: m.nextSequence(), Callers: callers,
+		}, out)
 	})
 	m.releases = m.releases[:0]
 	return out
@@ -276,7 +283,7 @@
 // outdated: the sender may own a newer flow of the same caller port.
 func (m *machine) onRelease(from *peer, msg Release) {
 	svc := m.services[msg.Service]
-	if svc == nil || svc.cfg == nil {
+	if svc == nil || svc.cfg == nil || !from.hear(msg.Sequence) {
 		return
 	}
 	for _, caller := range msg.Callers {
--- a/internal/flow/service.go
+++ b/internal/flow/service.go
@@ -51,6 +51,9 @@
 	former bool      // no longer in the configuration
 	lostAt time.Time // when it was learned to be lost or removed; zero otherwise
 	swept  bool      // redirects to it were deleted because lostGrace has passed
+	// returned is set while a member that was lost for lostSYNGrace has not sealed again. Its flows may have been accepted
+	// elsewhere.
+	returned bool
 
 	// sealed is the generation at which the member had registered all flows of this agent's buckets.
 	sealed model.Revision
@@ -239,6 +242,7 @@
 		s.markLost(now)
 		return
 	}
+	s.returned = s.returned || s.goneFor(now, lostSYNGrace)
 	s.lostAt = time.Time{}
 	if s.swept {
 		// Redirects to the member were deleted while it was lost; it must register what it still owns.
--- a/internal/flow/wire/wire.go
+++ b/internal/flow/wire/wire.go
@@ -40,6 +40,7 @@
 	case flow.Release:
 		e.Message = &peerpb.Envelope_Release{Release: &peerpb.Release{
 			Service: uint32(m.Service), Generation: uint64(m.Generation), Callers: packCallers(m.Callers),
+			Sequence: m.Sequence,
 		}}
 	case flow.Load:
 		e.Message = &peerpb.Envelope_Load{Load: encodeLoad(m)}
@@ -83,7 +84,7 @@
 		callers, err := unpackCallers(m.Release.GetCallers())
 		return flow.Release{
 			Service: model.ServiceID(m.Release.GetService()), Generation: model.Revision(m.Release.GetGeneration()),
-			Callers: callers,
+			Callers: callers, Sequence: m.Release.GetSequence(),
 		}, err
 	case *peerpb.Envelope_Load:
 		return decodeLoad(m.Load)
@@ -140,6 +141,7 @@
 	return &peerpb.Answer{
 		Service: uint32(m.Service), Generation: uint64(m.Generation), Incarnation: uint64(m.Incarnation),
 		Owned: packCallers(m.Owned), Free: packCallers(m.Free), Stale: m.Stale, Audit: m.Audit,
+		Sequence: m.Sequence,
 	}
 }
 
@@ -152,7 +154,7 @@
 	return flow.Answer{
 		Service: model.ServiceID(m.GetService()), Generation: model.Revision(m.GetGeneration()),
 		Incarnation: model.Incarnation(m.GetIncarnation()), Owned: owned, Free: free, Stale: m.GetStale(),
-		Audit: m.GetAudit(),
+		Audit: m.GetAudit(), Sequence: m.GetSequence(),
 	}, err
 }
 
@@ -164,7 +166,7 @@
 	return &peerpb.Decline{
 		Service: uint32(m.Service), HomeIncarnation: uint64(m.HomeIncarnation),
 		Caller: packCallers([]netip.AddrPort{m.Caller}), Code: uint32(m.Code), Generation: uint64(m.Generation),
-		Hops: uint32(m.Hops), Syn: syn,
+		Hops: uint32(m.Hops), Syn: syn, Sequence: m.Sequence,
 	}
 }
 
@@ -182,7 +184,7 @@
 	return flow.Decline{
 		Service: model.ServiceID(m.GetService()), HomeIncarnation: model.Incarnation(m.GetHomeIncarnation()),
 		Caller: callers[0], Code: result.Code(m.GetCode()), Generation: model.Revision(m.GetGeneration()),
-		Hops: uint8(m.GetHops()), SYN: m.GetSyn(),
+		Hops: uint8(m.GetHops()), SYN: m.GetSyn(), Sequence: m.GetSequence(),
 	}, nil
 }
 
