Make TestLateRegister reproduce the fault that it guards against

Cause: run against the code before the fix, the test passed, because every member had sealed the bucket by then. Change: the seals of the other members are lost before the late message arrives.

--- a/internal/flow/fault_test.go
+++ b/internal/flow/fault_test.go
@@ -1,12 +1,14 @@
 package flow_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/flow"
+	"github.com/plantainseam/plantainseam/internal/flow/wire"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/internal/routing"
@@ -379,6 +381,12 @@
 	g.Expect(n.agents["h1"].Stats().Redirects).To(BeZero())
 }
 
+func isRegister(p parcel) bool {
+	m, _ := wire.Decode(p.data)
+	_, ok := m.(flow.Register)
+	return p.packet == nil && ok
+}
+
 // Guards against a registration that was sent before its flow ended and arrives after the home has assigned a new flow of
 // the same caller port. Found by TestRandomSchedules (20,000 schedules, seed 2): the home replaced the live owner.
 func TestLateRegister(t *testing.T) {
@@ -399,13 +407,19 @@
 	n.apply("h1", n.newest())
 	n.setLocal("h1", flow.Local{AcceptNew: false})
 	n.applyAll()
-	n.run(time.Second)
-	second := n.connect(i, 0)
-	if !second.established || second.owner == first.owner {
+	for range 6 {
+		n.tick()
+		n.queue = slices.DeleteFunc(n.queue, isRegister) // the other members have not sealed yet
+		n.flush()
+	}
+	second := &caller{key: first.key}
+	n.send(second, 0, flow.FlagSYN)
+	n.flush()
+	if n.update(second); !second.established || second.owner == first.owner {
 		t.Fatalf("the caller cannot connect again: %+v", second)
 	}
 	n.queue = append(n.queue, late...)
-	n.run(time.Second)
+	n.flush()
 	if !n.reaches(second, 1) {
 		t.Fatalf("the flow does not reach its owner; drops %v resets %v", n.drops, n.resets)
 	}
