--- a/internal/flow/assign.go
+++ b/internal/flow/assign.go
@@ -245,6 +245,9 @@
 	if p.Flags&FlagSYN == 0 || svc.homes[b] != selfPeer {
 		return m.forward(svc, to, p, out)
 	}
+	if svc.floor[b] > svc.generation {
+		return m.unknown(now, svc, k, b, p, noPeer, out) // promised to a newer home
+	}
 	if s := svc.seat(to); s == nil || s.excused(now, true) {
 		m.halfOpen.delete(k)
 		return m.unknown(now, svc, k, b, p, to, out)
@@ -260,8 +263,9 @@
 		return drop(p, result.FlowUnknown, out)
 	}
 	assigner := m.peers[p.Assigner]
-	if svc.floor[b] > p.Generation || p.Generation < svc.since[b] {
-		// The bucket is sealed or promised to a newer home.
+	if svc.floor[b] > p.Generation || p.Generation < svc.generation {
+		// The bucket is promised to a newer home, or may be sealed under the agent's generation: a home that skipped
+		// generations has forgotten what it assigned before.
 		p.Assigned = false
 		return m.unknown(now, svc, k, b, p, noPeer, out)
 	}
@@ -305,7 +309,7 @@
 	m.tombs.add(now, k)
 	msg := Decline{
 		Service: svc.id, HomeIncarnation: m.byPeer[home].incarnation, Caller: p.Key.Caller, Code: code,
-		Generation: svc.generation, Hops: p.Hops,
+		Generation: svc.generation, Sequence: m.nextSequence(), Hops: p.Hops,
 	}
 	if p.Flags&FlagSYN != 0 {
 		msg.SYN = append([]byte(nil), p.Raw...)
@@ -320,7 +324,7 @@
 		return out
 	}
 	b := svc.bucket(msg.Caller)
-	if svc.homes[b] != selfPeer || msg.Generation < svc.since[b] {
+	if !from.hear(msg.Sequence) || svc.homes[b] != selfPeer || msg.Generation < svc.since[b] {
 		return out
 	}
 	k := pack(svc.index, msg.Caller)
--- a/internal/flow/machine.go
+++ b/internal/flow/machine.go
@@ -33,7 +33,7 @@
 	behind    []held // packets of a newer generation than the agent's
 	tombs     tombstones
 	releases  []peerFlow
-	sequence  uint32    // of the last Register
+	sequence  uint32    // of the last statement about own flows
 	wasCold   bool      // at the last report of the load
 	warmSince time.Time // when the host stopped being cold
 
@@ -68,7 +68,11 @@
 	if svc == nil {
 		return m.foreign(now, p, out)
 	}
-	return m.dispatch(now, svc, pack(svc.index, p.Key.Caller), p, noPeer, out)
+	k := pack(svc.index, p.Key.Caller)
+	if r, ok := m.flows.get(k); ok && r.owned() {
+		return append(out, Action{Kind: ActionDeliver, Packet: p})
+	}
+	return m.dispatch(now, svc, k, p, noPeer, out)
 }
 
 // dispatch applies the tables, then the rules for unknown packets. exclude is a peer that must not be assigned the flow.
@@ -169,6 +173,12 @@
 	return append(out, Action{Kind: ActionSend, To: m.byPeer[to].host, Message: msg})
 }
 
+// nextSequence numbers a statement about own flows.
+func (m *machine) nextSequence() uint32 {
+	m.sequence++
+	return m.sequence
+}
+
 // fetch asks for a newer configuration, at most once per fetchInterval.
 func (m *machine) fetch(now time.Time, out []Action) []Action {
 	if now.Sub(m.fetchedAt) < fetchInterval {
