--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"strings"
 	"testing"
 	"time"
@@ -31,7 +30,7 @@
 
 // longFlow is a flow that asks a line now and then until it is told to stop.
 type longFlow struct {
-	*lineFlow
+	*caller.Terminal
 	stop chan struct{}
 	done chan struct{}
 	err  error // valid after done is closed
@@ -43,10 +42,10 @@
 	for f.err == nil {
 		select {
 		case <-f.stop:
-			f.err = f.check()
+			f.err = f.Check()
 			return
 		case <-time.After(benchPause):
-			f.err = f.check()
+			f.err = f.Check()
 		}
 	}
 }
@@ -56,26 +55,10 @@
 	close(f.stop)
 	<-f.done
 	if f.err == nil {
-		f.err = endInOrder(f.lineFlow)
+		f.err = f.Finish()
 	}
 }
 
-// endInOrder closes the caller's side and expects the upstream's end of stream.
-func endInOrder(f *lineFlow) error {
-	if err := f.conn.CloseWrite(); err != nil {
-		return err
-	}
-	_ = f.conn.SetReadDeadline(time.Now().Add(f.wait))
-	rest, err := io.ReadAll(f.in)
-	if err != nil {
-		return fmt.Errorf("end of flow of %s: %w", f.server, err)
-	}
-	if len(rest) > 0 {
-		return fmt.Errorf("end of flow of %s: %d bytes too many", f.server, len(rest))
-	}
-	return f.conn.Close()
-}
-
 // traffic is a set of long flows.
 type traffic struct {
 	hosts  []*caller.Host
@@ -105,9 +88,8 @@
 	b.Helper()
 	for i, host := range tr.hosts {
 		share := (count + i) / len(tr.hosts)
-		for _, line := range openLines(b, host, share) {
-			f := &longFlow{lineFlow: line, stop: make(chan struct{}), done: make(chan struct{})}
-			f.wait = tr.wait
+		for _, line := range openLines(b, host, share, tr.wait) {
+			f := &longFlow{Terminal: line, stop: make(chan struct{}), done: make(chan struct{})}
 			go f.run()
 			tr.open = append(tr.open, f)
 		}
@@ -119,7 +101,7 @@
 func (tr *traffic) finish(server string) {
 	var own, rest []*longFlow
 	for _, f := range tr.open {
-		if server == "" || f.server == server {
+		if server == "" || f.Server == server {
 			own = append(own, f)
 			continue
 		}
@@ -138,7 +120,7 @@
 func (tr *traffic) log(b *testing.B) {
 	b.Helper()
 	for _, f := range tr.broken {
-		b.Logf("broken: %s at %s: %v", f.conn.LocalAddr(), f.server, f.err)
+		b.Logf("broken: %s at %s: %v", f.Caller(), f.Server, f.err)
 	}
 }
 
@@ -228,9 +210,9 @@
 		tr.finish("")
 		brokenOwned, told, other := 0, 0, 0
 		for _, f := range tr.broken {
-			if f.server != lost {
+			if f.Server != lost {
 				other++
-				b.Logf("broken: %s at %s: %v", f.conn.LocalAddr(), f.server, f.err)
+				b.Logf("broken: %s at %s: %v", f.Caller(), f.Server, f.err)
 				continue
 			}
 			brokenOwned++
@@ -246,10 +228,10 @@
 }
 
 // allLines returns the lines of long flows.
-func allLines(flows []*longFlow) []*lineFlow {
-	out := make([]*lineFlow, len(flows))
+func allLines(flows []*longFlow) []*caller.Terminal {
+	out := make([]*caller.Terminal, len(flows))
 	for i, f := range flows {
-		out[i] = f.lineFlow
+		out[i] = f.Terminal
 	}
 	return out
 }
--- a/internal/agent/change_test.go
+++ b/internal/agent/change_test.go
@@ -8,12 +8,13 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/standin/caller"
 	"github.com/plantainseam/plantainseam/standin/fabric"
 	"github.com/plantainseam/plantainseam/standin/site"
 )
 
 // newLines returns a site with upstreams u1 to u3, a caller and at least count open flows, at least one per upstream.
-func newLines(t *testing.T, options site.Options, faults fabric.Faults, count int) (*site.Site, []*lineFlow) {
+func newLines(t *testing.T, options site.Options, faults fabric.Faults, count int) (*site.Site, []*caller.Terminal) {
 	t.Helper()
 	g := NewWithT(t)
 	s := newSite(t, options)
@@ -23,9 +24,9 @@
 	host, err := s.Caller("10.1.0.1")
 	g.Expect(err).NotTo(HaveOccurred())
 	s.Fabric.SetFaults(faults)
-	flows := openLines(t, host, count)
+	flows := openLines(t, host, count, patience)
 	for extra := 0; len(byServer(flows)) < 3 && extra < 100; extra++ {
-		flows = append(flows, openLines(t, host, 1)...)
+		flows = append(flows, openLines(t, host, 1, patience)...)
 	}
 	g.Expect(byServer(flows)).To(HaveLen(3), "flows on every upstream")
 	return s, flows
@@ -66,13 +67,13 @@
 	checkAll(t, flows)
 	host, err := s.Caller("10.1.0.2")
 	g.Expect(err).NotTo(HaveOccurred())
-	later := openLines(t, host, 30)
+	later := openLines(t, host, 30, patience)
 	g.Expect(byServer(later)).NotTo(HaveKey("u1"), "a draining upstream gets no new flow")
 	g.Expect(byServer(later)).To(HaveKey("u4"))
 
 	for _, f := range flows {
-		if f.server == "u1" {
-			g.Expect(f.conn.Close()).To(Succeed())
+		if f.Server == "u1" {
+			g.Expect(f.Finish()).To(Succeed())
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -82,8 +83,8 @@
 	s.RemoveMember(pages, "u1")
 	g.Expect(s.StopAgent("u1")).To(Succeed())
 	for _, f := range append(flows, later...) {
-		if f.server != "u1" {
-			g.Expect(f.check()).To(Succeed())
+		if f.Server != "u1" {
+			g.Expect(f.Check()).To(Succeed())
 		}
 	}
 }
@@ -106,9 +107,9 @@
 func TestDrainOfAgent(t *testing.T) {
 	g := NewWithT(t)
 	s, flows := newLines(t, site.Options{Seed: 5}, fabric.Faults{}, 30)
-	var kept []*lineFlow
+	var kept []*caller.Terminal
 	for _, f := range flows {
-		if f.server == "u2" {
+		if f.Server == "u2" {
 			kept = append(kept, f)
 		}
 	}
@@ -121,10 +122,10 @@
 	}
 	g.Expect(callers).To(HaveLen(len(kept)))
 	for _, f := range kept {
-		g.Expect(callers).To(HaveKey(f.caller().String()))
+		g.Expect(callers).To(HaveKey(f.Caller().String()))
 	}
 	checkAll(t, flows)
 	host, err := s.Caller("10.1.0.2")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(byServer(openLines(t, host, 30))).NotTo(HaveKey("u2"))
+	g.Expect(byServer(openLines(t, host, 30, patience))).NotTo(HaveKey("u2"))
 }
--- a/internal/agent/fault_test.go
+++ b/internal/agent/fault_test.go
@@ -34,11 +34,11 @@
 	g := NewWithT(t)
 	s, flows := newLines(t, site.Options{Seed: 6, Delivery: fastProbes}, fabric.Faults{}, 12)
 	silent, idle := flows[0], flows[1:]
-	s.Fabric.Cut(silent.caller())
-	owner := s.Agent(model.HostID(silent.server))
+	s.Fabric.Cut(silent.Caller())
+	owner := s.Agent(model.HostID(silent.Server))
 	g.Eventually(func() uint64 { return owner.Counters().Ended[result.FlowSilent] }, patience).Should(Equal(uint64(1)))
-	s.Fabric.Restore(silent.caller())
-	_, err := silent.ask()
+	s.Fabric.Restore(silent.Caller())
+	_, err := silent.Ask()
 	g.Expect(err).To(MatchError(ContainSubstring("connection reset")))
 	checkAll(t, idle)
 }
@@ -49,8 +49,8 @@
 	s, flows := newLines(t, site.Options{Seed: 7}, fabric.Faults{}, 12)
 	g.Expect(s.StopAgent("u1")).To(Succeed())
 	for _, f := range flows {
-		err := f.check()
-		if f.server == "u1" {
+		err := f.Check()
+		if f.Server == "u1" {
 			g.Expect(err).To(MatchError(ContainSubstring("connection reset")))
 			continue
 		}
@@ -103,26 +103,30 @@
 	s.SetMember(successor, "u9", model.UpstreamActive)
 
 	for _, f := range flows {
-		_, err := f.ask()
+		_, err := f.Ask()
 		g.Expect(err).To(HaveOccurred(), "a flow of the closed service is never answered by its successor")
 	}
 	g.Expect(other.Total()).To(BeZero())
 	host, err := s.Caller("10.1.0.2")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(byServer(openLines(t, host, 9))).To(Equal(map[string]int{"successor": 9}), "also over the stale entry VM")
+	g.Expect(byServer(openLines(t, host, 9, patience))).To(Equal(map[string]int{"successor": 9}), "also over the stale entry VM")
 }
 
 // Guards against a relay that loses the direction which is still open after a half-close.
 func TestHalfClose(t *testing.T) {
 	g := NewWithT(t)
-	_, flows := newLines(t, site.Options{Seed: 10}, fabric.Faults{}, 6)
-	f := flows[0]
-	_, err := fmt.Fprintln(f.conn, "last")
+	s := newSite(t, site.Options{Seed: 10})
+	addUpstream(t, s, "u1")
+	host, err := s.Caller("10.1.0.1")
+	g.Expect(err).NotTo(HaveOccurred())
+	client, err := host.Dial(context.Background(), linesAddr)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = fmt.Fprintln(client, "last")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(f.conn.CloseWrite()).To(Succeed())
-	rest, err := io.ReadAll(f.in)
+	g.Expect(client.CloseWrite()).To(Succeed())
+	rest, err := io.ReadAll(client)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(string(rest)).To(Equal(f.server + " last\n"))
+	g.Expect(string(rest)).To(Equal("u1 last\n"))
 }
 
 // Guards against a caller that takes the part received before an upstream failure for the complete answer.
--- a/internal/agent/path_test.go
+++ b/internal/agent/path_test.go
@@ -86,3 +86,26 @@
 		g.Expect(s.Entry(model.HostID(fmt.Sprintf("e%d", i))).Counters().Forwarded).To(BeNumerically(">", 0))
 	}
 }
+
+// Guards against a path that works for IPv4 only.
+func TestPageOverIPv6(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, site.Options{Seed: 14})
+	const id model.ServiceID = 3
+	frontend := netip.MustParseAddrPort("[fd00::9]:80")
+	web, err := backend.NewHTTP("u1", 3)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer web.Close()
+	s.AddService(model.Service{ID: id, Name: "v6", Frontend: frontend, Kind: model.KindStream, Seed: 13})
+	_, err = s.AddAgent("u1", map[model.ServiceID]netip.AddrPort{id: web.Addr()})
+	g.Expect(err).NotTo(HaveOccurred())
+	s.SetMember(id, "u1", model.UpstreamActive)
+	host, err := s.Caller("fd00::1")
+	g.Expect(err).NotTo(HaveOccurred())
+	answer, err := host.Client().Get(fmt.Sprintf("http://%s/six", frontend))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("u1 GET /six 0\n"))
+}
