End handshakes that are in progress when the delivery closes

Cause: a stress run of the agent's tests hung in Close: a flow that was aborted before its endpoint existed was forgotten, so that nothing ended its handshake before the stack's own limit of 127 s. Change: a flow stays in the table while its handshake is in progress; Close and the sweeper repeat the abort.

--- a/internal/delivery/netstack.go
+++ b/internal/delivery/netstack.go
@@ -119,6 +119,8 @@
 	lastSeen time.Time   // arrival of the caller's last packet
 	code     result.Code // why it ends; OK until a reason is known
 	removed  bool
+
+	accepting bool // a goroutine completes the handshake, and removes the flow if that fails
 }
 
 // NewNetstack starts a stack. Close releases it.
--- a/internal/delivery/netstack_flows.go
+++ b/internal/delivery/netstack_flows.go
@@ -21,6 +21,9 @@
 // limit closes a connection without sending a reset.
 const probeCount = 1 << 20
 
+// abortInterval is the time between attempts to end handshakes when the delivery closes.
+const abortInterval = 10 * time.Millisecond
+
 // Conn is the connection given to Handler.Established. It has the half-close methods of net.TCPConn.
 type Conn struct {
 	*gonet.TCPConn
@@ -69,6 +72,7 @@
 		return nil
 	}
 	n.accepts.Add(1)
+	f.accepting = true
 	return f
 }
 
@@ -129,13 +133,23 @@
 	}
 	found, ok := n.stack.FindTransportEndpoint(proto, tcp.ProtocolNumber, endpointID(f.tuple), nicID).(tcpip.Endpoint)
 	if !ok {
-		n.remove(f)
+		n.removeIdle(f)
 		return
 	}
 	// A shutdown fails the handshake, which lets accept return.
 	_ = found.Shutdown(tcpip.ShutdownRead | tcpip.ShutdownWrite)
 }
 
+// removeIdle removes a half-open flow without an endpoint. While a handshake is about to start, accept will remove it.
+func (n *Netstack) removeIdle(f *flow) {
+	n.mu.Lock()
+	accepting := f.accepting
+	n.mu.Unlock()
+	if !accepting {
+		n.remove(f)
+	}
+}
+
 // endpointEnded notes a flow for the sweeper. The endpoint calls it with its lock held.
 func (n *Netstack) endpointEnded(f *flow) {
 	n.mu.Lock()
@@ -204,7 +218,7 @@
 	n.mu.Lock()
 	for _, f := range n.flows {
 		switch {
-		case f.ep == nil && now.Sub(f.started) > n.cfg.HalfOpenTimeout:
+		case f.ep == nil && (f.code != result.OK || now.Sub(f.started) > n.cfg.HalfOpenTimeout):
 			silent = append(silent, f)
 		case f.ep == nil:
 		case stateless(f.ep):
@@ -236,19 +250,17 @@
 		return nil
 	}
 	n.closed = true
-	open := make([]*flow, 0, len(n.flows))
-	for _, f := range n.flows {
-		open = append(open, f)
-	}
 	n.mu.Unlock()
-	for _, f := range open {
-		n.Abort(f.key, result.FlowOwnerLost)
-	}
-	n.accepts.Wait()
+	done := make(chan struct{})
+	go func() {
+		n.accepts.Wait()
+		close(done)
+	}()
+	n.abortUntil(done)
 	n.stack.Close()
 	n.cancel()
 	n.loops.Wait()
-	for _, f := range open {
+	for _, f := range n.open() {
 		n.remove(f)
 	}
 	n.link.Close()
@@ -256,6 +268,34 @@
 	return nil
 }
 
+// abortUntil ends all flows until no handshake is in progress. It repeats this, because an endpoint that is about to be
+// created cannot be ended yet.
+func (n *Netstack) abortUntil(done <-chan struct{}) {
+	ticker := time.NewTicker(abortInterval)
+	defer ticker.Stop()
+	for {
+		for _, f := range n.open() {
+			n.Abort(f.key, result.FlowOwnerLost)
+		}
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// open returns the flows in the table.
+func (n *Netstack) open() []*flow {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	open := make([]*flow, 0, len(n.flows))
+	for _, f := range n.flows {
+		open = append(open, f)
+	}
+	return open
+}
+
 // stateless says whether an endpoint has left the stack.
 func stateless(ep tcpip.Endpoint) bool {
 	state := tcp.EndpointState(ep.State())
