--- a/internal/delivery/netstack_flows.go
+++ b/internal/delivery/netstack_flows.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"gvisor.dev/gvisor/pkg/tcpip"
@@ -24,30 +21,17 @@
 // limit closes a connection without sending a reset.
 const probeCount = 1 << 20
 
+// abortInterval is the time between attempts to end handshakes when the delivery closes.
+const abortInterval = 10 * time.Millisecond
+
 // Conn is the connection given to Handler.Established. It has the half-close methods of net.TCPConn.
 type Conn struct {
 	*gonet.TCPConn
-	ep    tcpip.Endpoint
-	ended atomic.Bool // the caller's FIN was received
+	ep tcpip.Endpoint
 }
 
 var _ net.Conn = (*Conn)(nil)
 
-// Read implements net.Conn.
-func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	if errors.Is(err, io.EOF) {
-		c.ended.Store(true)
-	}
-	return n, err
-}
-
-// closedByBoth says whether the connection is over although the stack still waits in FIN-WAIT-2. The stack enters this
-// state instead of LAST-ACK when it sends the last FIN again, and then waits for a FIN that it has already received.
-func (c *Conn) closedByBoth() bool {
-	return c.ended.Load() && tcp.EndpointState(c.ep.State()) == tcp.StateFinWait2
-}
-
 // Abort ends the connection with a reset, so that the caller cannot take what it received for a complete answer.
 func (c *Conn) Abort() { c.ep.Abort() }
 
@@ -70,7 +54,7 @@
 	ended := waiter.NewFunctionEntry(waiter.EventHUp, func(waiter.EventMask) { n.endpointEnded(f) })
 	wq.EventRegister(&ended)
 	conn := &Conn{TCPConn: gonet.NewTCPConn(wq, ep), ep: ep}
-	if !n.establish(f, conn) {
+	if !n.establish(f, ep) {
 		conn.Abort()
 		_ = conn.Close()
 		n.remove(f)
@@ -88,18 +72,18 @@
 		return nil
 	}
 	n.accepts.Add(1)
+	f.accepting = true
 	return f
 }
 
 // establish moves a flow out of the half-open table. It returns false when the flow was ended meanwhile.
-func (n *Netstack) establish(f *flow, conn *Conn) bool {
+func (n *Netstack) establish(f *flow, ep tcpip.Endpoint) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if f.removed || f.code != result.OK || n.closed {
 		return false
 	}
-	f.ep = conn.ep
-	f.conn = conn
+	f.ep = ep
 	f.lastSeen = time.Now()
 	n.halfOpen--
 	return true
@@ -149,13 +133,23 @@
 	}
 	found, ok := n.stack.FindTransportEndpoint(proto, tcp.ProtocolNumber, endpointID(f.tuple), nicID).(tcpip.Endpoint)
 	if !ok {
-		n.remove(f)
+		n.removeIdle(f)
 		return
 	}
 	// A shutdown fails the handshake, which lets accept return.
 	_ = found.Shutdown(tcpip.ShutdownRead | tcpip.ShutdownWrite)
 }
 
+// removeIdle removes a half-open flow without an endpoint. While a handshake is about to start, accept will remove it.
+func (n *Netstack) removeIdle(f *flow) {
+	n.mu.Lock()
+	accepting := f.accepting
+	n.mu.Unlock()
+	if !accepting {
+		n.remove(f)
+	}
+}
+
 // endpointEnded notes a flow for the sweeper. The endpoint calls it with its lock held.
 func (n *Netstack) endpointEnded(f *flow) {
 	n.mu.Lock()
@@ -220,17 +214,15 @@
 
 // sweep removes ended flows and ends those that were silent or half-open for too long.
 func (n *Netstack) sweep(now time.Time) {
-	var gone, over, silent []*flow
+	var gone, silent []*flow
 	n.mu.Lock()
 	for _, f := range n.flows {
 		switch {
-		case f.ep == nil && now.Sub(f.started) > n.cfg.HalfOpenTimeout:
+		case f.ep == nil && (f.code != result.OK || now.Sub(f.started) > n.cfg.HalfOpenTimeout):
 			silent = append(silent, f)
 		case f.ep == nil:
 		case stateless(f.ep):
 			gone = append(gone, f)
-		case f.conn.closedByBoth():
-			over = append(over, f)
 		case tcp.EndpointState(f.ep.State()) != tcp.StateTimeWait && now.Sub(f.lastSeen) > n.cfg.SilentAfter:
 			silent = append(silent, f)
 		}
@@ -242,10 +234,6 @@
 	for _, f := range gone {
 		n.remove(f)
 	}
-	for _, f := range over {
-		f.ep.Abort() // the caller has no connection that the reset could end
-		n.remove(f)
-	}
 	for _, f := range silent {
 		n.mu.Lock()
 		ep := f.ep
@@ -262,19 +250,17 @@
 		return nil
 	}
 	n.closed = true
-	open := make([]*flow, 0, len(n.flows))
-	for _, f := range n.flows {
-		open = append(open, f)
-	}
 	n.mu.Unlock()
-	for _, f := range open {
-		n.Abort(f.key, result.FlowOwnerLost)
-	}
-	n.accepts.Wait()
+	done := make(chan struct{})
+	go func() {
+		n.accepts.Wait()
+		close(done)
+	}()
+	n.abortUntil(done)
 	n.stack.Close()
 	n.cancel()
 	n.loops.Wait()
-	for _, f := range open {
+	for _, f := range n.open() {
 		n.remove(f)
 	}
 	n.link.Close()
@@ -282,6 +268,34 @@
 	return nil
 }
 
+// abortUntil ends all flows until no handshake is in progress. It repeats this, because an endpoint that is about to be
+// created cannot be ended yet.
+func (n *Netstack) abortUntil(done <-chan struct{}) {
+	ticker := time.NewTicker(abortInterval)
+	defer ticker.Stop()
+	for {
+		for _, f := range n.open() {
+			n.Abort(f.key, result.FlowOwnerLost)
+		}
+		select {
+		case <-done:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// open returns the flows in the table.
+func (n *Netstack) open() []*flow {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	open := make([]*flow, 0, len(n.flows))
+	for _, f := range n.flows {
+		open = append(open, f)
+	}
+	return open
+}
+
 // stateless says whether an endpoint has left the stack.
 func stateless(ep tcpip.Endpoint) bool {
 	state := tcp.EndpointState(ep.State())
