Long joins, silent peers and late upstreams

Cause: a join held one RPC for the whole run, so a connection that went silent was noticed only at the deadline; an upstream that is slow without missing deadlines kept its load. Change: Join answers "pending" after 2 s and is repeated; Execute has a time limit, after which a keyed request finds its run by the log; a bind that fails closes idle connections; a run that takes more than 5 times the median of the other hosts counts as a failure. The model of the property test has pending joins. Conclusion: one silent connection costs at most 4 s of a join.

--- a/internal/binding/client.go
+++ b/internal/binding/client.go
@@ -23,7 +23,7 @@
 type Client struct {
 	addresses func() []string
 	scheme    string
-	http      bindpb.HTTPClient
+	http      *http.Client
 
 	mu     sync.Mutex
 	leader string // address that answered last or was hinted
@@ -100,6 +100,8 @@
 				return nil
 			}
 			if err != nil {
+				// The pool may hold more connections that went silent with this one; the next call dials.
+				c.http.CloseIdleConnections()
 				last = result.Errorf(result.NoQuorum, "control VM %s: %w", addr, err)
 				continue
 			}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -56,7 +56,8 @@
 	Intent func(model.ServiceID) uint64
 	// OnMismatch is called when the account equation does not hold; may be nil.
 	OnMismatch func(account.Mismatch)
-	// OnDrainOverdue is called with the remaining callers when a drain passes its deadline; may be nil.
+	// OnDrainOverdue is called with the remaining callers when a drain passes its deadline; may be nil. Neither
+	// function may call the gate or block.
 	OnDrainOverdue func(callers []string)
 	MaxBody        int64 // bytes; DefaultMaxBody if 0
 	MaxConnections int   // 0 for no limit
--- a/internal/gate/gate_bench_test.go
+++ b/internal/gate/gate_bench_test.go
@@ -51,14 +51,15 @@
 	return total / time.Duration(n)
 }
 
-// bytesPerKey fills a table and returns the heap bytes per record.
-func bytesPerKey(b *testing.B, keys int) float64 {
+// tableCost fills a table and returns the heap bytes per record, and the time and the bytes of one bind command.
+func tableCost(b *testing.B, keys int) (perKey, perApply, perCommand float64) {
 	var before, after runtime.MemStats
 	table := binding.NewTable(keys)
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	at := time.Unix(1_800_000_000, 0)
 	digest := make([]byte, binding.HashSize)
+	var spent time.Duration
 	for i := range keys {
 		command, err := proto.Marshal(&bindpb.Command{Kind: &bindpb.Command_Bind{Bind: &bindpb.BindRequest{
 			Service: 7, Key: fmt.Sprintf("0193a5c2-%012d", i), Digest: digest, Host: "host", Incarnation: 1,
@@ -67,14 +68,18 @@
 		if err != nil {
 			b.Fatal(err)
 		}
+		perCommand = float64(len(command))
+		begin := time.Now()
 		table.Apply(uint64(i+1), at, command)
+		spent += time.Since(begin)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	if table.Stats().Records != keys {
 		b.Fatalf("%d records", table.Stats().Records)
 	}
-	return float64(after.HeapAlloc-before.HeapAlloc) / float64(keys)
+	perKey = float64(after.HeapAlloc-before.HeapAlloc) / float64(keys)
+	return perKey, float64(spent.Nanoseconds()) / float64(keys), perCommand
 }
 
 func BenchmarkRequestGate(b *testing.B) {
@@ -101,7 +106,10 @@
 		b.ReportMetric(float64((gated - base).Nanoseconds()), "ns/request")
 		b.ReportMetric(float64((keyed - base).Nanoseconds()), "keyed-ns/request")
 		b.ReportMetric(float64(base.Nanoseconds()), "baseline-ns/request")
-		b.ReportMetric(bytesPerKey(b, 180_000), "B/key")
+		perKey, perApply, perCommand := tableCost(b, 180_000)
+		b.ReportMetric(perKey, "B/key")
+		b.ReportMetric(perApply, "ns/bind-apply")
+		b.ReportMetric(perCommand, "B/bind-command")
 		c.close()
 	}
 }
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -162,7 +162,9 @@
 	for i := range hosts {
 		host := model.HostID(fmt.Sprintf("host-%d", i))
 		c.service.Members = append(c.service.Members, model.Member{Host: host, State: model.UpstreamActive})
-		c.start(model.HostRef{Host: host, Incarnation: 1}, newUpstream(behave))
+	}
+	for _, member := range c.service.Members {
+		c.start(model.HostRef{Host: member.Host, Incarnation: 1}, newUpstream(behave))
 	}
 	return c
 }
--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -22,6 +22,14 @@
 	// peerIntervalFast applies while requests are handed over.
 	peerIntervalFast = time.Second
 	peerTimeout      = 500 * time.Millisecond
+	// joinPoll is how long a Join waits for the end of a run before it answers "pending", and joinTimeout how long the
+	// asking agent waits for that: a connection that went silent is noticed although runs may take minutes.
+	joinPoll    = 2 * time.Second
+	joinTimeout = 4 * time.Second
+	// handOverTimeout bounds an Execute without an answer. A keyed request then finds its run by the log; another one is
+	// run again, so it waits longer.
+	handOverTimeoutKeyed = 5 * time.Second
+	handOverTimeout      = 30 * time.Second
 )
 
 // pollPeers keeps the machine informed about the other agents of its services.
@@ -109,6 +117,7 @@
 	p.Ejected = resp.Ejected
 	p.Since = time.UnixMilli(resp.EjectedUnixMs)
 	p.Queued = int(resp.Queued)
+	p.Mean = time.Duration(resp.MeanUs) * time.Microsecond
 	return p
 }
 
@@ -120,6 +129,8 @@
 	if !ok {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
 	resp, err := client.Join(ctx, &gatepb.JoinRequest{
 		Service:     uint32(ref.Service),
 		Key:         ref.Key,
@@ -131,6 +142,7 @@
 		return
 	}
 	ended.Reached = true
+	ended.Pending = resp.Pending
 	ended.Held = resp.Held
 	ended.Code = result.Code(resp.Code)
 	ended.Answer = fromWire(resp.Answer)
@@ -145,6 +157,12 @@
 		return
 	}
 	ended.Sent = true
+	timeout := handOverTimeout
+	if c.key != "" {
+		timeout = handOverTimeoutKeyed
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	resp, err := client.Execute(ctx, &gatepb.ExecuteRequest{
 		Service: uint32(c.service),
 		Method:  c.method,
@@ -208,7 +226,12 @@
 	c := newCall(g.nextID(), model.ServiceID(r.Service))
 	defer close(c.gone)
 	asked := request.JoinAsked{ID: c.id, Service: c.service, Key: r.Key, Digest: binding.Digest(r.Digest)}
-	a, err := g.wait(ctx, c, asked)
+	poll, cancel := context.WithTimeout(ctx, joinPoll)
+	defer cancel()
+	a, err := g.wait(poll, c, asked)
+	if err != nil && ctx.Err() == nil && poll.Err() != nil {
+		return &gatepb.JoinResponse{Held: true, Pending: true}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -244,6 +267,7 @@
 	out := make(chan *gatepb.StatusResponse, 1)
 	g.post(input{run: func() {
 		resp := &gatepb.StatusResponse{TakesWork: g.machine.TakesWork(id), Queued: uint32(g.machine.Queued(id))}
+		resp.MeanUs = g.machine.Mean(id).Microseconds()
 		if since, ejected := g.machine.Ejected(id); ejected {
 			resp.Ejected = true
 			resp.EjectedUnixMs = since.UnixMilli()
--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -172,6 +172,24 @@
 	close(release)
 }
 
+// Guards against a join that gives up, or a run that is cancelled, while the owner's run takes longer than one poll.
+func TestJoinOfLongRun(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	c := withCluster(t, 2, func(*http.Request, string) behaviour { <-release; return behaviour{} })
+	replies := make(chan reply, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { replies <- c.send(ctx, "host-0", "POST", "k", "match") }()
+	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
+	go func() { replies <- c.send(context.Background(), "host-1", "POST", "k", "match") }()
+	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(2))
+	cancel()
+	g.Expect((<-replies).err).To(HaveOccurred())
+	time.AfterFunc(3*time.Second, func() { close(release) })
+	g.Expect((<-replies).body).To(Equal("ran match"))
+	g.Expect(c.runs("match")).To(Equal(1))
+}
+
 // Guards against a log without a quorum that lets a keyed request run, or stops requests without a key.
 func TestLogUnreached(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/request/admission_test.go
+++ b/internal/request/admission_test.go
@@ -189,6 +189,22 @@
 	g.Expect(ejected).To(BeFalse())
 }
 
+// Guards against an upstream that answers late without deadlines and keeps its load, and against one that is ejected
+// although its service is slow on every host.
+func TestLateAnswersEject(t *testing.T) {
+	for mean, want := range map[time.Duration]bool{50 * time.Millisecond: true, 500 * time.Millisecond: false, 0: false} {
+		g := NewWithT(t)
+		b := newBench(nil)
+		b.peers(request.Peer{Host: "h1", TakesWork: true, Mean: mean})
+		for range 5 {
+			b.send(service, 0)
+			b.end(400*time.Millisecond, request.RunAnswered)
+		}
+		_, ejected := b.m.Ejected(service)
+		g.Expect(ejected).To(Equal(want), mean.String())
+	}
+}
+
 // Guards against agents that eject more than half of a service's hosts, and against requests that fail because all but
 // one host are failing.
 func TestEjectionCap(t *testing.T) {
--- a/internal/request/elsewhere.go
+++ b/internal/request/elsewhere.go
@@ -35,8 +35,12 @@
 	if w.giveUpAt.IsZero() {
 		w.giveUpAt = m.now.Add(m.cfg.JoinPatience)
 	}
+	m.join(w)
+}
+
+func (m *Machine) join(w *work) {
 	m.setState(w, stateJoining)
-	m.emit(Action{Kind: ActionJoin, Run: w.ID, Owner: a.Owner, Ref: w.ref(m.cfg.Self), Digest: w.Digest, At: w.limitAt})
+	m.emit(Action{Kind: ActionJoin, Run: w.ID, Owner: w.owner, Ref: w.ref(m.cfg.Self), Digest: w.Digest, At: w.limitAt})
 }
 
 // endJoin answers with what the log knows.
@@ -71,6 +75,9 @@
 		return
 	}
 	switch {
+	case e.Reached && e.Pending:
+		w.giveUpAt = m.now.Add(m.cfg.JoinPatience)
+		m.join(w)
 	case e.Reached && w.ownerFinished && e.Answer == nil:
 		// The log knows more than an owner that was restarted.
 		m.endJoin(w)
--- a/internal/request/health.go
+++ b/internal/request/health.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/model"
@@ -12,6 +13,10 @@
 	limitStep = 0.2
 	// windowSize is the number of latest runs that the failure share is taken over.
 	windowSize = 20
+	// slowFactor and slowFloor define a late answer where requests carry no deadline: a run that took longer than the
+	// floor and than this many times the median service time of the other hosts.
+	slowFactor = 5
+	slowFloor  = 20 * time.Millisecond
 	// windowMin is the number of runs needed before the share counts.
 	windowMin = 10
 )
@@ -35,9 +40,14 @@
 	m.endProbe(w)
 	switch {
 	case r == RunAnswered:
-		s.observe(m.now.Sub(w.started))
+		took := m.now.Sub(w.started)
+		s.observe(took)
 		s.limit = min(s.limit+limitStep, float64(m.cfg.Slots))
-		h.succeeded(s, w.late)
+		if w.late || s.slow(took) {
+			h.failed(m, s)
+			return
+		}
+		h.succeeded(s)
 	case w.stopped && !w.late:
 		// Cancelled by the caller: says nothing about the upstream.
 	default:
@@ -58,10 +68,25 @@
 	h.seen = min(h.seen+1, windowSize)
 }
 
-func (h *health) succeeded(s *service, late bool) {
-	h.record(late)
+// slow compares a run with the other hosts of the service.
+func (s *service) slow(took time.Duration) bool {
+	var means []time.Duration
+	for _, p := range s.peers {
+		if p.Mean > 0 {
+			means = append(means, p.Mean)
+		}
+	}
+	if took < slowFloor || len(means) == 0 {
+		return false
+	}
+	slices.Sort(means)
+	return took > slowFactor*means[len(means)/2]
+}
+
+func (h *health) succeeded(s *service) {
+	h.record(false)
 	h.inRow = 0
-	if !h.since.IsZero() && !late {
+	if !h.since.IsZero() {
 		*h = health{backoff: h.backoff}
 		s.limit = 1
 	}
@@ -153,5 +178,8 @@
 	return !m.local.Draining && !ejected
 }
 
+// Mean returns the measured service time of a service, 0 before the first answer.
+func (m *Machine) Mean(id model.ServiceID) time.Duration { return m.service(id).mean }
+
 // Queued returns the length of a service's queue.
 func (m *Machine) Queued(id model.ServiceID) int { return len(m.service(id).queue) }
--- a/internal/request/model_test.go
+++ b/internal/request/model_test.go
@@ -329,13 +329,27 @@
 			return
 		}
 		target.lastID++
-		target.waits[target.lastID] = s
-		w.handle(target, request.JoinAsked{ID: target.lastID, Service: service, Key: act.Ref.Key, Digest: act.Digest})
+		id := target.lastID
+		target.waits[id] = s
+		poll := &message{what: "join-poll", from: target}
+		poll.deliver = func() {
+			if target.waits[id] != nil {
+				answer := s.settle
+				s.settle = func(request.Action) {}
+				answer(request.Action{Kind: request.ActionJoin})
+				w.handle(target, request.Cancelled{ID: id})
+			}
+		}
+		w.add(poll)
+		w.handle(target, request.JoinAsked{ID: id, Service: service, Key: act.Ref.Key, Digest: act.Digest})
 	}
 	w.call("join", a, act.Owner.Host, a.sends[act.Run], arrive, func(r *request.Action) request.Event {
 		if r == nil {
 			return request.JoinEnded{Run: act.Run}
 		}
+		if r.Kind == request.ActionJoin {
+			return request.JoinEnded{Run: act.Run, Reached: true, Pending: true}
+		}
 		return request.JoinEnded{Run: act.Run, Reached: true, Held: r.Held, Code: r.Code, Answer: r.Answer}
 	})
 }
--- a/internal/request/types.go
+++ b/internal/request/types.go
@@ -100,6 +100,7 @@
 type JoinEnded struct {
 	Run     ID
 	Reached bool // the owner answered
+	Pending bool // the owner's run has not ended
 	Held    bool // the owner has, or had, a run of the key
 	Code    result.Code
 	Answer  *Answer
@@ -124,6 +125,7 @@
 	Ejected   bool
 	Since     time.Time // when the ejection began
 	Queued    int
+	Mean      time.Duration // measured service time, 0 if not known
 }
 
 // Peers replaces what is known of the other agents of a service.
