A late run counts against the upstream only when it took too long

Cause: under overload, runs that admission had started too late missed their deadline, counted as failures and ejected a healthy upstream; the other host then took the load of both. Change: a run past its deadline is a failure only above twice the expected time; a deadline that the gate's context notices before the tick is treated the same.

--- a/internal/gate/overload_bench_test.go
+++ b/internal/gate/overload_bench_test.go
@@ -97,6 +97,7 @@
 	var all sync.WaitGroup
 	times := hdrhistogram.New(1, 10_000_000, 3)
 	good := 0
+	codes := map[string]int{}
 	begin := time.Now()
 	next := begin
 	for i := 0; next.Sub(begin) < overloadTime; i++ {
@@ -116,6 +117,7 @@
 			took := time.Since(start)
 			mu.Lock()
 			defer mu.Unlock()
+			codes[r.code]++
 			// Answers after the end of the load are not counted, as capacity is taken over its time only.
 			inTime := took <= overloadDeadline && time.Since(begin) <= overloadTime
 			if r.err == nil && r.code == "0" && inTime {
@@ -125,6 +127,7 @@
 		})
 	}
 	all.Wait()
+	b.Logf("load %g, admission %t: replies by code: %v", load, admission, codes)
 	return float64(good) / (capacity * overloadTime.Seconds()), float64(times.ValueAtQuantile(99)) / 1000
 }
 
--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -59,6 +59,9 @@
 	s.deviation += (diff - s.deviation) / 4
 }
 
+// expected is the time within which most runs of the service end, 0 before the first answer.
+func (s *service) expected() time.Duration { return s.mean + 2*s.deviation }
+
 // workLimit returns how many runs of a service may be in progress.
 func (m *Machine) workLimit(s *service) int {
 	if m.local.Cold {
@@ -130,7 +133,7 @@
 	if s.mean == 0 {
 		return false
 	}
-	return m.now.Add(wait + s.mean + 2*s.deviation).After(w.Deadline)
+	return m.now.Add(wait + s.expected()).After(w.Deadline)
 }
 
 func (m *Machine) unqueue(w *work) {
--- a/internal/request/health.go
+++ b/internal/request/health.go
@@ -17,6 +17,8 @@
 	// floor and than this many times the median service time of the other hosts.
 	slowFactor = 5
 	slowFloor  = 20 * time.Millisecond
+	// lateFactor is how far a run past its deadline must exceed the expected time to count as the upstream's failure.
+	lateFactor = 2
 	// windowMin is the number of runs needed before the share counts.
 	windowMin = 10
 )
@@ -38,25 +40,33 @@
 func (s *service) judge(m *Machine, w *work, r RunResult) {
 	h := &s.health
 	m.endProbe(w)
+	took := m.now.Sub(w.started)
+	if (r == RunBroken || r == RunTruncated) && !w.stopped && w.expired(m.now) {
+		// The gate ends a run at its deadline by itself, possibly before the tick.
+		w.late = true
+	}
+	expected := s.expected()
 	switch {
 	case r == RunAnswered:
-		took := m.now.Sub(w.started)
 		s.observe(took)
 		s.limit = min(s.limit+limitStep, float64(m.cfg.Slots))
-		if w.late || s.slow(took) {
+		if s.slow(took) || (w.late && took > lateFactor*expected) {
 			h.failed(m, s)
 			return
 		}
 		h.succeeded(s)
 	case w.stopped && !w.late:
 		// Cancelled by the caller: says nothing about the upstream.
+	case w.late && expected > 0 && took <= lateFactor*expected:
+		// Admission left too little time; the upstream took no longer than usual.
+		s.observe(took)
 	default:
 		if r == RunShed {
 			s.limit = max(1, s.limit/2)
 		}
 		if w.late {
 			// The run took at least this long; later estimates must know it.
-			s.observe(m.now.Sub(w.started))
+			s.observe(took)
 		}
 		h.failed(m, s)
 	}
