--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -26,8 +26,9 @@
 }
 
 // caughtUpEntries is how far a learner may be behind the leader's log when it is promoted. A voter further behind
-// would delay commits that need it.
-const caughtUpEntries = 64
+// would delay commits that need it. At the measured 30,000 commits a second and 8 ms between domains, 240 entries are
+// under way at any time.
+const caughtUpEntries = 512
 
 // ChangeMember appends a membership change. It returns the position of the entry, as Propose does. A change is refused
 // while an earlier one is not committed (MemberChangeBusy), and if the new voters that were heard recently do not form
@@ -117,3 +118,28 @@
 		c.send(Message{Kind: MsgTimeoutNow, To: id})
 	}
 }
+
+// stuckElections is how many election timeouts a sync may take before a leader hands over.
+const stuckElections = 10
+
+// diskStuck reports whether the oldest unsynced output waits for too long. Such a leader keeps its followers and commits
+// with them, but it can neither apply nor answer.
+func (c *Core) diskStuck() bool {
+	return len(c.unsynced) > 0 && c.now.Sub(c.unsynced[0].since) >= stuckElections*c.cfg.Election
+}
+
+// yield transfers leadership to the reachable voter with the longest log, if there is one.
+func (c *Core) yield() {
+	var best MemberID
+	for _, m := range c.membership().Members {
+		if m.ID == c.cfg.ID || m.Learner || !c.active(m.ID) {
+			continue
+		}
+		if best == "" || c.peer(m.ID).match > c.peer(best).match {
+			best = m.ID
+		}
+	}
+	if best != "" {
+		_ = c.TransferLeadership(c.now, best) // refused only for members that were excluded above
+	}
+}
--- a/internal/consensus/config.go
+++ b/internal/consensus/config.go
@@ -30,12 +30,13 @@
 	RetainEntries    uint64 // entries kept before a snapshot for members that are behind
 }
 
-// Defaults. The times suit failure domains several milliseconds apart: one TCP retransmission timeout (200 ms) plus a
-// heartbeat interval stays below the shortest election timeout.
+// Defaults. A follower tolerates one dead connection: a heartbeat interval, a call that times out
+// (node.DefaultCallTimeout) and a new dial stay below the shortest election timeout, and so does one TCP retransmission
+// timeout (200 ms).
 const (
-	DefaultHeartbeat  = 100 * time.Millisecond
-	DefaultElection   = 600 * time.Millisecond
-	DefaultRetransmit = 300 * time.Millisecond
+	DefaultHeartbeat  = 75 * time.Millisecond
+	DefaultElection   = 450 * time.Millisecond
+	DefaultRetransmit = 250 * time.Millisecond
 )
 
 // withDefaults returns a copy in which unset values have their defaults.
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -50,6 +50,7 @@
 	sequence uint64
 	last     uint64 // last entry in it
 	voteTerm uint64 // term in which it stores a vote for this member itself; 0 for none
+	since    time.Time
 }
 
 // Output is what the adapter has to do. Storage is done in the order Hard, Install, Entries, Compact. Messages in Now
@@ -315,7 +316,7 @@
 	}
 	c.sequence++
 	o.Sequence = c.sequence
-	u := unsyncedOutput{sequence: o.Sequence, last: c.log.handed}
+	u := unsyncedOutput{sequence: o.Sequence, last: c.log.handed, since: c.now}
 	if o.Hard != nil && o.Hard.Vote == c.cfg.ID {
 		u.voteTerm = o.Hard.Term
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -104,6 +104,7 @@
 	c.role = Leader
 	c.leader = c.cfg.ID
 	c.votes = nil
+	c.incoming = nil
 	c.peers = map[MemberID]*progress{}
 	c.reads = nil
 	c.round = 0
--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -180,6 +180,16 @@
 		group.run(20 * time.Millisecond)
 		g.Expect(group.leader()).To(Equal(other))
 	}},
+	{"leader whose disk does not answer hands over", func(g *WithT, group *group, leader, _ MemberID) {
+		group.peers[leader].stuck = true
+		g.Expect(group.propose(leader, "unsynced")).To(Succeed())
+		group.run(200 * time.Millisecond)
+		g.Expect(group.leader()).To(Equal(leader))
+		g.Expect(group.newest).To(Equal(group.peers[leader].core.log.last()), "the others commit")
+		group.run(time.Second)
+		g.Expect(group.leader()).NotTo(Equal(leader))
+		group.peers[leader].stuck = false
+	}},
 	{"read on a follower", func(g *WithT, group *group, _, other MemberID) {
 		read := group.read(other)
 		group.run(20 * time.Millisecond)
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -19,6 +19,7 @@
 	core     *Core // nil while it is down
 	disk     State
 	unsynced []Output
+	stuck    bool   // its disk does not answer
 	state    uint64 // hash over all applied commands
 	index    uint64 // last applied entry
 	time     int64
@@ -312,7 +313,7 @@
 func (g *group) exchange() {
 	for range 2000 {
 		for _, id := range g.order {
-			for len(g.peers[id].unsynced) > 0 {
+			for len(g.peers[id].unsynced) > 0 && !g.peers[id].stuck {
 				g.sync(id)
 			}
 		}
--- a/internal/consensus/node/twirp.go
+++ b/internal/consensus/node/twirp.go
@@ -31,11 +31,21 @@
 // TCP retransmission (200 ms) and is shorter than the shortest election timeout, so that one dead connection alone
 // causes no election.
 const (
-	DefaultCallTimeout = 300 * time.Millisecond
+	DefaultCallTimeout = 250 * time.Millisecond
 	DefaultQueueBytes  = 4 << 20
 	DefaultBatchBytes  = 1 << 20
 )
 
+// maxRequestSlack is how much a call may exceed BatchBytes, in bytes. One message may be larger than a batch, and sizes
+// are estimates.
+const maxRequestSlack = 1 << 20
+
+// maxAddresses bounds the addresses learnt from calls. A log has at most 7 members, and a few are replaced.
+const maxAddresses = 64
+
+// idleSender is how long a sender without messages is kept. Removed members get no more messages.
+const idleSender = time.Minute
+
 // idleConnection bounds how long an unused connection is kept. A device between the ends may have forgotten it.
 const idleConnection = 10 * time.Second
 
@@ -86,7 +96,9 @@
 }
 
 // Handler returns the HTTP handler of the Consensus service.
-func (t *Twirp) Handler() http.Handler { return pb.NewConsensusServer(t) }
+func (t *Twirp) Handler() http.Handler {
+	return http.MaxBytesHandler(pb.NewConsensusServer(t), int64(t.cfg.BatchBytes)+maxRequestSlack)
+}
 
 // PathPrefix returns the path under which Handler is to be mounted.
 func (t *Twirp) PathPrefix() string { return pb.ConsensusPathPrefix }
@@ -129,12 +141,23 @@
 		t.workers.Add(1)
 		go func() {
 			defer t.workers.Done()
-			s.run(t.ctx)
+			s.run(t.ctx, func() bool { return t.retire(s) })
 		}()
 	}
 	s.enqueue(to.Address, messages)
 }
 
+// retire removes a sender without messages and reports whether it did.
+func (t *Twirp) retire(s *sender) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !s.empty() {
+		return false
+	}
+	delete(t.senders, s.key)
+	return true
+}
+
 // Step implements the twirp service.
 func (t *Twirp) Step(ctx context.Context, request *pb.StepRequest) (*pb.StepResponse, error) {
 	if request.GetTo() != string(t.cfg.ID) {
@@ -145,6 +168,9 @@
 	t.mu.Lock()
 	handler := t.handlers[request.GetLog()]
 	if request.GetFromAddress() != "" {
+		if len(t.addresses) >= maxAddresses {
+			clear(t.addresses) // those in use are learnt again with the next call
+		}
 		t.addresses[from] = request.GetFromAddress()
 	}
 	t.mu.Unlock()
@@ -221,16 +247,31 @@
 	return s.address, batch
 }
 
-func (s *sender) run(ctx context.Context) {
+func (s *sender) empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue) == 0
+}
+
+// run delivers messages until ctx is done, or until retire agrees to end an idle sender.
+func (s *sender) run(ctx context.Context, retire func() bool) {
 	defer s.disconnect()
+	idle := time.NewTimer(idleSender)
+	defer idle.Stop()
 	for {
 		address, batch := s.take()
 		if len(batch) > 0 {
 			s.deliver(ctx, address, batch)
+			idle.Reset(idleSender)
 			continue
 		}
 		select {
 		case <-s.ready:
+		case <-idle.C:
+			if retire() {
+				return
+			}
+			idle.Reset(idleSender)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -91,6 +91,9 @@
 	if c.transferTo != "" && !c.now.Before(c.transferTill) {
 		c.transferTo = ""
 	}
+	if c.transferTo == "" && c.diskStuck() {
+		c.yield()
+	}
 	if !c.now.Before(c.heartbeatAt) {
 		c.heartbeatAll()
 	}
--- a/internal/consensus/store/store_test.go
+++ b/internal/consensus/store/store_test.go
@@ -72,7 +72,7 @@
 	}}
 }
 
-func create(t *testing.T) string {
+func create(t testing.TB) string {
 	path := filepath.Join(t.TempDir(), "data")
 	_, err := store.Create(path, "control-1", "catalog", "bindings")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
@@ -80,7 +80,7 @@
 }
 
 // open opens the log "catalog" and loads it.
-func open(t *testing.T, path string) (consensus.Store, func()) {
+func open(t testing.TB, path string) (consensus.Store, func()) {
 	g := NewWithT(t)
 	d, err := store.Open(path, "")
 	g.Expect(err).NotTo(HaveOccurred())
