--- a/internal/dissemination/client.go
+++ b/internal/dissemination/client.go
@@ -61,6 +61,8 @@
 	digest  []byte
 	full    bool // the next fetch asks for a full snapshot, after a digest that did not match
 	hints   chan model.Revision
+	hinted  model.Revision // newest revision that a hint named
+	tries   int            // servers that may still be asked for it without a pause
 }
 
 // NewClient loads the stored snapshot, if any. A damaged file is result.StoreCorrupt: the process has lost the revision
@@ -109,6 +111,7 @@
 			return ctx.Err()
 		case r := <-c.hints:
 			if r > c.current.Revision {
+				c.hinted, c.tries = r, len(c.cfg.Servers)
 				probe.kick()
 			}
 		case a := <-answers:
@@ -128,6 +131,7 @@
 type order struct {
 	req     *configpb.FetchRequest
 	refused bool // the last response was not applied; another server may do better
+	hurry   bool // a hinted revision is still missing; the next server is to be asked without a pause
 }
 
 // handle applies a response and returns the next order.
@@ -136,6 +140,10 @@
 	if a.res != nil {
 		o.refused = !c.apply(a)
 	}
+	if c.hinted > c.current.Revision && c.tries > 0 {
+		c.tries--
+		o.hurry = true
+	}
 	o.req = &configpb.FetchRequest{Since: uint64(c.current.Revision), Digest: c.digest, Host: c.cfg.Host}
 	if c.full {
 		o.req.Since, o.req.Digest = 0, nil
@@ -145,6 +153,9 @@
 
 // apply installs a response and says whether it was acceptable.
 func (c *Client) apply(a answer) bool {
+	if d := a.res.Delta; d != nil && model.Revision(d.From) < c.current.Revision {
+		return true // another connection applied a revision while this fetch was under way; the next one starts there
+	}
 	next, err := Next(c.current, a.res)
 	if err != nil {
 		c.full = c.full || result.CodeOf(err) == result.RevisionDigest
@@ -203,6 +214,11 @@
 			return
 		}
 		o := <-reply
+		if pause > 0 && last != nil && !o.hurry {
+			last = nil // asks for a new order after the pause, since another connection may apply a revision meanwhile
+			c.sleep(ctx, pause)
+			continue
+		}
 		if o.refused {
 			failures++
 			c.leave()
@@ -222,7 +238,6 @@
 		}
 		if pause > 0 {
 			c.leave()
-			c.sleep(ctx, pause)
 		}
 	}
 }
