--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,148 @@
+package catalog_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/catalog"
+	"github.com/plantainseam/plantainseam/internal/consensus"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/catalogpb"
+	"github.com/plantainseam/plantainseam/rpc/intentpb"
+	"github.com/plantainseam/plantainseam/rpc/memberpb"
+)
+
+var _ consensus.StateMachine = (*catalog.Catalog)(nil)
+
+// commands is a history in which every command changes something: two hosts, a service, a loss and a return, totals,
+// and a drain that is overdue, paused, resumed and aborted.
+func commands(t testing.TB) [][]byte {
+	host := func(name string, n int) *catalogpb.Host {
+		return &catalogpb.Host{
+			Host: name, Incarnation: 1, FailureDomain: "d" + name, Carries: []string{"s"}, Slots: 3, MaxConnections: 9,
+			Tunnel: fmt.Sprintf("127.0.1.%d:1", n), Rpc: fmt.Sprintf("127.0.1.%d:2", n),
+		}
+	}
+	create := &intentpb.Spec{Want: &intentpb.Spec_Create{Create: &intentpb.CreateService{Name: "s", Frontend: "10.0.0.1:80", Kind: "stream", Hosts: []string{"h1", "h2"}}}}
+	drain := &intentpb.Spec{Want: &intentpb.Spec_Retire{Retire: &intentpb.RetireHost{Host: "h1"}}}
+	loss := []*catalogpb.Loss{{Host: "h2", Incarnation: 1, Observers: []string{"h1"}}}
+	claims := []string{catalog.ServiceObject("s")}
+	state := func(s intentpb.State) *catalogpb.Command {
+		return &catalogpb.Command{Do: &catalogpb.Command_SetState{SetState: &catalogpb.SetState{Intent: 2, State: s, Operator: "ann"}}}
+	}
+	list := []*catalogpb.Command{
+		{Do: &catalogpb.Command_Announce{Announce: &catalogpb.Announce{Hosts: []*catalogpb.Host{host("h1", 1), host("h2", 2)}}}},
+		{Do: &catalogpb.Command_Submit{Submit: &catalogpb.Submit{Operator: "ann", Key: "1", Spec: create, Plan: &intentpb.Plan{
+			Number: 1, Claims: claims, Steps: []*intentpb.Step{{Kind: intentpb.StepKind_STEP_CREATE}},
+		}}}},
+		{Do: &catalogpb.Command_Confirm{Confirm: &catalogpb.Confirm{Intent: 1, Number: 1, Operator: "ann"}}},
+		{Do: &catalogpb.Command_Advance{Advance: &catalogpb.Advance{Intent: 1, Number: 1}}},
+		{Do: &catalogpb.Command_Lost{Lost: &catalogpb.DeclareLost{Hosts: loss}}},
+		{Do: &catalogpb.Command_Return{Return: &catalogpb.Return{Hosts: loss}}},
+		{Do: &catalogpb.Command_Totals{Totals: &catalogpb.Totals{Hosts: []*catalogpb.HostTotals{{Host: "h1", Incarnation: 1,
+			Totals:  []*memberpb.AccountTotal{{Service: 1, Unit: "flow", Count: 4}},
+			Callers: []*memberpb.CallerTotal{{Service: 1, Caller: "192.0.2.1", Unit: "flow", Count: 4}}}}}}},
+		{Do: &catalogpb.Command_Submit{Submit: &catalogpb.Submit{Operator: "ann", Key: "2", Spec: drain, Plan: &intentpb.Plan{
+			Number: 1, Claims: claims, Steps: []*intentpb.Step{{Kind: intentpb.StepKind_STEP_DRAIN, Hosts: []string{"h1"}}, {Kind: intentpb.StepKind_STEP_AWAIT_IDLE}},
+		}}}},
+		{Do: &catalogpb.Command_Replan{Replan: &catalogpb.Replan{Intent: 2, Number: 1, Plan: &intentpb.Plan{
+			Claims: claims, Steps: []*intentpb.Step{{Kind: intentpb.StepKind_STEP_DRAIN, Hosts: []string{"h1"}}, {Kind: intentpb.StepKind_STEP_AWAIT_IDLE}},
+		}}}},
+		{Do: &catalogpb.Command_Confirm{Confirm: &catalogpb.Confirm{Intent: 2, Number: 2, Operator: "ann"}}},
+		{Do: &catalogpb.Command_Advance{Advance: &catalogpb.Advance{Intent: 2, Number: 2}}},
+		{Do: &catalogpb.Command_Overdue{Overdue: &catalogpb.Overdue{Intent: 2, Callers: []string{"192.0.2.1"}, Work: 1}}},
+		state(intentpb.State_STATE_PAUSED),
+		state(intentpb.State_STATE_RUNNING),
+		state(intentpb.State_STATE_ABORTED),
+		{Do: &catalogpb.Command_SetControl{SetControl: &catalogpb.SetControl{Members: []*catalogpb.ControlMember{{Id: "c1", Address: "127.0.0.1:1"}}}}},
+		{Do: &catalogpb.Command_Lost{Lost: &catalogpb.DeclareLost{Hosts: loss}}},
+		{Do: &catalogpb.Command_Forget{Forget: &catalogpb.Forget{Hosts: loss}}},
+	}
+	var out [][]byte
+	for _, cmd := range list {
+		raw, err := catalog.Encode(cmd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, raw)
+	}
+	return out
+}
+
+// Guards against a command that has an effect when it is committed twice, as after a lost answer.
+func TestCommandsAreIdempotent(t *testing.T) {
+	g := NewWithT(t)
+	once, twice := catalog.New(), catalog.New()
+	at := time.UnixMilli(1_800_000_000_000)
+	state := func(c *catalog.Catalog) []byte {
+		raw, err := c.Snapshot()
+		g.Expect(err).NotTo(HaveOccurred())
+		return raw
+	}
+	for i, cmd := range commands(t) {
+		index := uint64(i + 1)
+		before := state(once)
+		_, err := catalog.DecodeResult(once.Apply(index, at, cmd))
+		g.Expect(err).NotTo(HaveOccurred(), "command %d", i)
+		g.Expect(state(once)).NotTo(Equal(before), "command %d changes nothing", i)
+		twice.Apply(index, at, cmd)
+		twice.Apply(index, at, cmd)
+		g.Expect(state(twice)).To(Equal(state(once)), "command %d", i)
+	}
+}
+
+// Guards against a history that grows without bound, or drops changes without counting them.
+func TestHistoryIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	at := time.UnixMilli(1_800_000_000_000)
+	for i, cmd := range commands(t)[:4] {
+		c.Apply(uint64(i+1), at, cmd)
+	}
+	const restarts = catalog.MaxChanges + 100
+	for i := range restarts {
+		h := &catalogpb.Host{Host: "h1", Incarnation: uint64(i + 2), FailureDomain: "d", Carries: []string{"s"}, Tunnel: "127.0.1.1:1", Rpc: "127.0.1.1:2"}
+		cmd, err := catalog.Encode(&catalogpb.Command{Do: &catalogpb.Command_Announce{Announce: &catalogpb.Announce{Hosts: []*catalogpb.Host{h}}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		c.Apply(uint64(i+5), at, cmd)
+	}
+	kept := len(c.Changes(1))
+	g.Expect(kept).To(Equal(catalog.MaxChanges))
+	g.Expect(c.ServiceByID(1).ChangesDropped).To(BeEquivalentTo(restarts + 1 - kept)) // one change for the creation
+}
+
+// FuzzCommand guards against a command that makes a replica fail, answer without a code, or differ from another one.
+func FuzzCommand(f *testing.F) {
+	for _, cmd := range commands(f) {
+		f.Add(cmd)
+	}
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		a, b := catalog.New(), catalog.New()
+		at := time.UnixMilli(1_800_000_000_000)
+		list := append(commands(t)[:8], data, data)
+		for i, cmd := range list {
+			res := a.Apply(uint64(i+1), at, cmd)
+			if !bytes.Equal(res, b.Apply(uint64(i+1), at, cmd)) {
+				t.Fatal("two replicas answer differently")
+			}
+			if _, err := catalog.DecodeResult(res); err != nil && i < 8 {
+				t.Fatal(err)
+			}
+		}
+		x, err := a.Snapshot()
+		if err != nil && result.CodeOf(err) != result.Internal {
+			t.Fatal(err)
+		}
+		y, _ := b.Snapshot()
+		if !bytes.Equal(x, y) {
+			t.Fatal("two replicas differ")
+		}
+		a.Config()
+	})
+}
