--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/plantainseam/plantainseam/internal/account"
 	"github.com/plantainseam/plantainseam/internal/catalog"
 	"github.com/plantainseam/plantainseam/internal/report"
 	"github.com/plantainseam/plantainseam/internal/result"
@@ -49,6 +50,8 @@
 	totals := &catalogpb.Totals{}
 	for _, host := range []string{"h1", "h2"} {
 		totals.Hosts = append(totals.Hosts, &catalogpb.HostTotals{Host: host, Incarnation: 1, Totals: []*memberpb.AccountTotal{
+			{Service: 1, Unit: "request", Code: uint32(account.CodeStarted), Count: 17}, // two of them never end
+			{Service: 1, Unit: "flow", Code: uint32(account.CodeStarted), Count: 1},
 			{Service: 1, Unit: "request", Count: 10},
 			{Service: 1, Unit: "request", Code: uint32(result.RequestOutcomeUnknown), Count: 2},
 			{Service: 1, Unit: "request", Code: uint32(result.RequestQueueFull), Count: 3},
@@ -107,11 +110,12 @@
 		}
 	}
 	g.Expect(totals).To(Equal([]report.Total{
-		{Unit: "flow", Ended: 2, Broken: 2}, {Unit: "request", Ended: 30, Normal: 20, Refused: 6, Unknown: 4},
+		{Unit: "flow", Issued: 2, Broken: 2}, {Unit: "request", Issued: 34, Normal: 20, Refused: 6, Unknown: 8, Unreported: 4},
 	}))
 	g.Expect(changes).To(Equal(2))
 	g.Expect(strings.Join(unknown, "\n")).To(And(
 		ContainSubstring("outcome of these requests is unknown"),
+		ContainSubstring("ends of these requests were not reported"),
 		ContainSubstring("h2 declared lost; work that ended there"),
 		ContainSubstring("callers of these flows are not listed"),
 	))
