--- a/cmd/plantainseamd/main.go
+++ b/cmd/plantainseamd/main.go
@@ -61,10 +61,26 @@
 	if err != nil {
 		return err
 	}
+	go reloadOnHangup(d, o.Config)
 	stop, kill := signals()
 	return d.Run(stop, kill)
 }
 
+// reloadOnHangup reads the settings again at each SIGHUP. Faulty settings change nothing.
+func reloadOnHangup(d *daemon.Daemon, path string) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for range hangups {
+		s, err := settings.Load(path)
+		if err == nil {
+			err = d.Reload(s)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+}
+
 func initData(s *settings.Settings) error {
 	identity, err := daemon.InitData(s)
 	if err != nil {
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-kit/log/level"
@@ -10,6 +11,7 @@
 	"github.com/plantainseam/plantainseam/internal/dissemination"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/routing"
+	"github.com/plantainseam/plantainseam/internal/settings"
 	"github.com/plantainseam/plantainseam/internal/timeline"
 	"github.com/plantainseam/plantainseam/internal/tunnel"
 	"github.com/plantainseam/plantainseam/rpc/configpb"
@@ -29,13 +31,17 @@
 	path    dataPath
 	table   *routing.Table // used by the client's goroutine only
 	applied atomic.Uint64  // revision in force
+
+	mu    sync.Mutex // guards keys and inUse
+	keys  []settings.TunnelKey
+	inUse model.KeyRing // keys that the configuration in force names
 	// admit says whether a snapshot may be installed; nil admits all.
 	admit func(*model.Snapshot) bool
 	after func(*model.Snapshot) // called after a snapshot is in force; may be nil
 }
 
 func newConfiguration(p *process, path dataPath) (*configuration, error) {
-	c := &configuration{process: p, server: dissemination.NewServer(), path: path}
+	c := &configuration{process: p, server: dissemination.NewServer(), path: path, keys: p.settings.Tunnel.Keys}
 	c.table = routing.Build(model.NewSnapshot())
 	var servers []string
 	for _, address := range p.controlAddresses() {
@@ -67,15 +73,13 @@
 	if c.admit != nil && !c.admit(s) {
 		return
 	}
-	ring, err := keyRing(c.process.settings.Tunnel.Keys, s.Keys)
-	if err != nil {
+	if err := c.useKeys(s.Keys); err != nil {
 		// The revision stays out of force, and the operator sees that at this VM.
 		level.Error(c.process.logger).Log("event", "configuration-refused", "revision", s.Revision, "err", err)
 		c.process.events.Record(timeline.Event{Kind: timeline.KindConfigRefused, Detail: err.Error()})
 		return
 	}
 	c.table = routing.BuildFrom(c.table, s)
-	c.path.SetKeys(ring)
 	c.path.Apply(s, c.table)
 	c.applied.Store(uint64(s.Revision))
 	if err := c.server.Publish(s); err != nil {
@@ -87,3 +91,30 @@
 		c.after(s)
 	}
 }
+
+// useKeys puts the tunnel keys that a configuration names into use.
+func (c *configuration) useKeys(use model.KeyRing) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ring, err := keyRing(c.keys, use)
+	if err != nil {
+		return err
+	}
+	c.inUse = use
+	c.path.SetKeys(ring)
+	return nil
+}
+
+// reloadKeys replaces the tunnel keys of the settings. Keys without which the configuration in force cannot be carried
+// out are refused, and the old ones stay in use.
+func (c *configuration) reloadKeys(keys []settings.TunnelKey) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ring, err := keyRing(keys, c.inUse)
+	if err != nil {
+		return err
+	}
+	c.keys = keys
+	c.path.SetKeys(ring)
+	return nil
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -231,6 +231,9 @@
 	}
 }
 
+// reload implements role; control VMs have no tunnel keys.
+func (r *controlRole) reload([]settings.TunnelKey) error { return nil }
+
 // handOver asks another reachable voter to lead, if this member does.
 func handOver(ctx context.Context, n *node.Node) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainseam/plantainseam/internal/metrics"
 	"github.com/plantainseam/plantainseam/internal/peer"
+	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/internal/settings"
 	"github.com/plantainseam/plantainseam/internal/timeline"
 )
@@ -24,6 +25,8 @@
 	run(ctx context.Context) error
 	// leave ends the role gracefully: it returns when no work is left or when ctx ends.
 	leave(ctx context.Context)
+	// reload puts changed tunnel keys into use.
+	reload(keys []settings.TunnelKey) error
 }
 
 // shutdownTimeout bounds the wait for open calls of the RPC server when the process ends.
@@ -135,6 +138,19 @@
 	return err
 }
 
+// Reload puts the tunnel keys of changed settings into use, so that a key is rotated without a restart. Other changes
+// need one; certificates are read again on their own.
+func (d *Daemon) Reload(s *settings.Settings) error {
+	for _, r := range d.roles {
+		if err := r.reload(s.Tunnel.Keys); err != nil {
+			return result.Errorf(result.SettingsContradictory, "reload tunnel.keys: %w", err)
+		}
+	}
+	d.process.events.Record(timeline.Event{Kind: timeline.KindKeyRotated, Detail: "settings reloaded"})
+	level.Info(d.process.logger).Log("event", "settings-reloaded", "tunnel-keys", len(s.Tunnel.Keys))
+	return nil
+}
+
 // wait returns when the process has to end.
 func (d *Daemon) wait(ctx, stop context.Context, failures <-chan error) error {
 	select {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -9,6 +9,7 @@
 	"github.com/plantainseam/plantainseam/internal/announce"
 	"github.com/plantainseam/plantainseam/internal/entry"
 	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/settings"
 	"github.com/plantainseam/plantainseam/rpc/memberpb"
 )
 
@@ -103,3 +104,6 @@
 }
 
 func revisionDetail(r model.Revision) string { return fmt.Sprintf("revision %d", r) }
+
+// reload implements role.
+func (r *entryRole) reload(keys []settings.TunnelKey) error { return r.config.reloadKeys(keys) }
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -9,34 +9,46 @@
 )
 
 // keyRing selects the tunnel keys of the settings that a configuration names. Before any rotation the configuration
-// names none, and the first key of the settings signs.
+// names none, and the first key of the settings signs. A key that the configuration names and the settings lack is an
+// error: the VM could not verify its peers after the next step of the rotation.
 func keyRing(keys []settings.TunnelKey, use model.KeyRing) (*tunnel.KeyRing, error) {
-	active := keys[0].ID
-	if use.Active != 0 {
-		active = uint8(use.Active)
+	if use.Active == 0 {
+		return ringOf(keys, keys[0].ID)
 	}
-	var current *tunnel.Key
-	var others []tunnel.Key
-	for _, k := range keys {
-		key := tunnel.Key{ID: k.ID, Secret: k.Secret}
-		switch {
-		case k.ID == active:
-			current = &key
-		case use.Active == 0 || accepted(use, k.ID):
-			others = append(others, key)
+	var named []settings.TunnelKey
+	for _, id := range use.Accepted {
+		key, ok := findKey(keys, id)
+		if !ok {
+			return nil, fmt.Errorf("the settings have no tunnel key %d", id)
 		}
+		named = append(named, key)
 	}
-	if current == nil {
-		return nil, fmt.Errorf("the settings have no tunnel key %d", active)
+	return ringOf(named, uint8(use.Active))
+}
+
+func findKey(keys []settings.TunnelKey, id uint32) (settings.TunnelKey, bool) {
+	for _, k := range keys {
+		if uint32(k.ID) == id {
+			return k, true
+		}
 	}
-	return tunnel.NewKeyRing(*current, others...)
+	return settings.TunnelKey{}, false
 }
 
-func accepted(use model.KeyRing, id uint8) bool {
-	for _, a := range use.Accepted {
-		if uint8(a) == id {
-			return true
+// ringOf returns a ring that signs with the active key and accepts all.
+func ringOf(keys []settings.TunnelKey, active uint8) (*tunnel.KeyRing, error) {
+	var current tunnel.Key
+	var others []tunnel.Key
+	for _, k := range keys {
+		key := tunnel.Key{ID: k.ID, Secret: k.Secret}
+		if k.ID == active {
+			current = key
+		} else {
+			others = append(others, key)
 		}
 	}
-	return false
+	if current.Secret == nil {
+		return nil, fmt.Errorf("the active tunnel key %d is not an accepted one", active)
+	}
+	return tunnel.NewKeyRing(current, others...)
 }
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -21,6 +21,7 @@
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/request"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/internal/settings"
 	"github.com/plantainseam/plantainseam/internal/timeline"
 	"github.com/plantainseam/plantainseam/rpc/gatepb"
 )
@@ -267,3 +268,6 @@
 		}
 	}
 }
+
+// reload implements role.
+func (r *upstreamRole) reload(keys []settings.TunnelKey) error { return r.config.reloadKeys(keys) }
