Run the control role over the replicated log and replace control VMs

The log refuses commands above 128 KiB, while a batch of account rows could be larger.

Batches are cut at 96 KiB.

--- a/internal/control/batch.go
+++ b/internal/control/batch.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/rpc/catalogpb"
@@ -9,8 +12,9 @@
 
 // Bounds of a batch.
 const (
-	batchItems = 512  // announcements or totals in one command
-	batchQueue = 8192 // announcements that wait; further ones are refused with result.NoQuorum
+	batchItems = 512      // announcements or totals in one batch
+	batchBytes = 96 << 10 // bytes of one command; the log refuses commands above 128 KiB
+	batchQueue = 8192     // announcements that wait; further ones are refused with result.NoQuorum
 )
 
 // batcher commits announcements and totals of many hosts together, so that a start of the whole fleet makes a few
@@ -85,19 +89,66 @@
 			totals.Hosts = append(totals.Hosts, item.totals)
 		}
 	}
-	var err error
-	if len(totals.Hosts) > 0 {
-		_, err = propose(ctx, b.log, &catalogpb.Command{Do: &catalogpb.Command_Totals{Totals: totals}})
-	}
-	if err == nil && len(announce.Hosts) > 0 {
-		_, err = propose(ctx, b.log, &catalogpb.Command{Do: &catalogpb.Command_Announce{Announce: announce}})
-		err = ignoreRefusal(err, len(announce.Hosts))
+	err := b.proposeTotals(ctx, totals.Hosts)
+	if err == nil {
+		err = b.proposeHosts(ctx, announce.Hosts)
 	}
 	for _, item := range items {
 		item.done <- err
 	}
 }
 
+func (b *batcher) proposeTotals(ctx context.Context, hosts []*catalogpb.HostTotals) error {
+	var parts []*catalogpb.HostTotals
+	for _, h := range hosts {
+		parts = append(parts, split(h)...)
+	}
+	return chunks(parts, func(part []*catalogpb.HostTotals) error {
+		cmd := &catalogpb.Command_Totals{Totals: &catalogpb.Totals{Hosts: part}}
+		_, err := propose(ctx, b.log, &catalogpb.Command{Do: cmd})
+		return err
+	})
+}
+
+func (b *batcher) proposeHosts(ctx context.Context, hosts []*catalogpb.Host) error {
+	return chunks(hosts, func(part []*catalogpb.Host) error {
+		cmd := &catalogpb.Command_Announce{Announce: &catalogpb.Announce{Hosts: part}}
+		_, err := propose(ctx, b.log, &catalogpb.Command{Do: cmd})
+		return ignoreRefusal(err, len(part))
+	})
+}
+
+// rowsPerPart bounds the rows of one host in one command. Rows are well below 100 bytes.
+const rowsPerPart = 500
+
+// split cuts the account of a host into parts. Counts are cumulative, so that parts can be committed one by one.
+func split(h *catalogpb.HostTotals) []*catalogpb.HostTotals {
+	var parts []*catalogpb.HostTotals
+	for totals := range slices.Chunk(h.Totals, rowsPerPart) {
+		parts = append(parts, &catalogpb.HostTotals{Host: h.Host, Incarnation: h.Incarnation, Totals: totals})
+	}
+	for callers := range slices.Chunk(h.Callers, rowsPerPart) {
+		parts = append(parts, &catalogpb.HostTotals{Host: h.Host, Incarnation: h.Incarnation, Callers: callers})
+	}
+	return parts
+}
+
+// chunks calls f for consecutive parts of the list that stay within batchBytes, and stops at the first error.
+func chunks[M proto.Message](list []M, f func(part []M) error) error {
+	for len(list) > 0 {
+		n, size := 0, 0
+		for n < len(list) && (n == 0 || size+proto.Size(list[n]) < batchBytes) {
+			size += proto.Size(list[n])
+			n++
+		}
+		if err := f(list[:n]); err != nil {
+			return err
+		}
+		list = list[n:]
+	}
+	return nil
+}
+
 // ignoreRefusal drops a refusal that concerns some other host of the batch.
 func ignoreRefusal(err error, hosts int) error {
 	switch result.CodeOf(err) {
--- a/internal/control/execute.go
+++ b/internal/control/execute.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/plantainseam/plantainseam/internal/planner"
+	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/rpc/catalogpb"
 	"github.com/plantainseam/plantainseam/rpc/intentpb"
 )
@@ -49,6 +50,9 @@
 			return err
 		}
 	}
+	if next.Action == planner.PromoteControl { // the next look at the plan finds the voter
+		return func(ctx context.Context) error { return c.cfg.Members.Promote(ctx, replace.GetNew()) }
+	}
 	advance := &catalogpb.Advance{Intent: id, Number: number, Step: index}
 	text := in.Plan.Steps[index].Text
 	return func(ctx context.Context) error {
@@ -65,6 +69,9 @@
 }
 
 func (c *Control) changeMembers(ctx context.Context, action planner.Action, replace *intentpb.ReplaceControl) error {
+	if c.cfg.Members == nil && (action == planner.AddControl || action == planner.RemoveControl) {
+		return result.Errorf(result.Internal, "the control VMs of this log cannot be changed")
+	}
 	switch action {
 	case planner.AddControl:
 		return c.cfg.Members.Add(ctx, replace.New, replace.Address)
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -1,6 +1,8 @@
 package control_test
 
 import (
+	"bytes"
+	"crypto/ed25519"
 	"fmt"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 
 	"github.com/plantainseam/plantainseam/internal/catalog"
 	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/report"
 	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/rpc/intentpb"
 	"github.com/plantainseam/plantainseam/rpc/memberpb"
@@ -250,3 +253,37 @@
 	r.g.Expect(member()).To(Equal(model.UpstreamActive))
 	r.g.Expect(r.heartbeat(h1).LeaseMs).To(BeEquivalentTo(5 * time.Second / time.Millisecond))
 }
+
+// Guards against a closing report that misses what happened between the last announcement of open work and the close,
+// and against a drain that is found complete before its account is committed.
+func TestCloseEndsInReport(t *testing.T) {
+	r := deployment(t)
+	g := r.g
+	h4 := r.hosts["h4"]
+	h4.OpenFlows = 1
+	r.settle(1)
+	spec := &intentpb.Spec{Want: &intentpb.Spec_Close{Close: &intentpb.CloseService{Service: "scan-vault", StopUnixMs: r.clock.Now().Add(time.Hour).UnixMilli()}}}
+	res := r.confirm("ann", r.plan("ann", "close", spec).Intent)
+	r.settle(3)
+	g.Expect(r.get(res.Intent.Id).Waiting).To(ContainSubstring("new flows stop"))
+	_, err := r.leader().intents.Pause(operator("bob"), &intentpb.IntentRequest{Intent: res.Intent.Id})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = r.leader().intents.Resume(operator("bob"), &intentpb.IntentRequest{Intent: res.Intent.Id, Now: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	r.settle(5)
+	g.Expect(r.get(res.Intent.Id).Waiting).To(ContainSubstring("h4 has 1 flows"))
+	h4.OpenFlows = 0
+	h4.Totals = []*memberpb.AccountTotal{{Service: 2, Unit: "flow", Count: 7}}
+	h4.Callers = []*memberpb.CallerTotal{{Service: 2, Unit: "flow", Caller: "192.0.2.9", Count: 7}}
+	r.settle(8)
+	g.Expect(r.get(res.Intent.Id).State).To(Equal(intentpb.State_STATE_DONE))
+	out, err := r.leader().intents.Report(operator("ann"), &intentpb.ReportRequest{Service: "scan-vault"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.Code).To(BeZero(), out.Detail)
+	rep, err := report.Verify(out.Json, report.Trust{System: systemKey.Public().(ed25519.PublicKey)})
+	g.Expect(result.CodeOf(err)).To(Equal(result.ReportUnsigned))
+	var text bytes.Buffer
+	g.Expect(rep.WriteText(&text)).To(Succeed())
+	g.Expect(text.String()).To(And(ContainSubstring("192.0.2.9"), ContainSubstring("plan set to paused by bob"), ContainSubstring("service scan-vault closed")))
+	g.Expect(text.String()).To(MatchRegexp(`flow +7 +7 +0 +0 +0`))
+}
--- a/internal/control/log.go
+++ b/internal/control/log.go
@@ -27,6 +27,9 @@
 // one that is absent succeed.
 type Members interface {
 	Status() []planner.ControlStatus
+	// Add adds a VM that receives the logs and does not vote yet.
 	Add(ctx context.Context, id, address string) error
+	// Promote makes an added VM a voter, or returns result.MemberNotCaughtUp.
+	Promote(ctx context.Context, id string) error
 	Remove(ctx context.Context, id string) error
 }
--- a/internal/planner/next.go
+++ b/internal/planner/next.go
@@ -14,11 +14,12 @@
 
 // Actions.
 const (
-	Wait          Action = iota + 1 // nothing to do; Reason says what the plan waits for
-	Advance                         // propose that the step is carried out
-	Overdue                         // propose the list of callers that remain at the deadline
-	AddControl                      // add the control VM to the logs, then Advance
-	RemoveControl                   // remove the control VM from the logs, then Advance
+	Wait           Action = iota + 1 // nothing to do; Reason says what the plan waits for
+	Advance                          // propose that the step is carried out
+	Overdue                          // propose the list of callers that remain at the deadline
+	AddControl                       // add the control VM to the logs, then Advance
+	PromoteControl                   // make the control VM a voter
+	RemoveControl                    // remove the control VM from the logs, then Advance
 )
 
 // Next is the next action of a running plan.
@@ -168,7 +169,7 @@
 			return Next{Action: Advance}
 		}
 	}
-	return Next{Action: Wait, Reason: fmt.Sprintf("%v has not caught up", step.Hosts)}
+	return Next{Action: PromoteControl, Reason: fmt.Sprintf("%v has not caught up", step.Hosts)}
 }
 
 // Drained says whether a host that is leaving has no work left and is sent none: its drain is in force at every entry
