Bound hosts, services, open plans and account rows

Cause: plans that nobody confirms, hosts that only announce themselves and rows of ended incarnations could grow without limit.

Change: limits with numbered refusals; the oldest unconfirmed plan gives way; the rows of an ended incarnation are joined with those of earlier ones, and its late totals are ignored.

Figures: after 16,484 restarts of one host its service has one total row and one row per caller instead of 16,485; the sums are unchanged.

Conclusion: the state grows with hosts and services, not with restarts.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,7 +18,9 @@
 const (
 	MaxChanges        = 16384 // changes in the history; older ones are dropped and counted per service
 	MaxIntents        = 2048  // intents, open ones included; the oldest finished ones are dropped first
-	MaxOpenIntents    = 512   // intents that are planned, running or paused
+	MaxOpenIntents    = 512   // intents that are planned, running or paused; the oldest planned one gives way
+	MaxHosts          = 16384 // hosts; announcements of further ones are refused
+	MaxServices       = 4096  // open services; further ones are refused
 	MaxClosedServices = 1024  // closed services that are kept for their reports
 	MaxCallers        = 20000 // caller rows of one service; further callers are counted only in the totals
 )
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -95,21 +95,28 @@
 	}
 }
 
-// Guards against a history that grows without bound, or drops changes without counting them.
-func TestHistoryIsBounded(t *testing.T) {
+// Guards against a history that grows without bound or drops changes without counting them, and against an account that
+// grows with each restart, or counts an incarnation twice when its last totals arrive late.
+func TestHistoryAndAccountAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	c := catalog.New()
 	at := time.UnixMilli(1_800_000_000_000)
 	for i, cmd := range commands(t)[:4] {
 		c.Apply(uint64(i+1), at, cmd)
 	}
+	c.Apply(5, at, commands(t)[6])
 	const restarts = catalog.MaxChanges + 100
 	for i := range restarts {
 		h := &catalogpb.Host{Host: "h1", Incarnation: uint64(i + 2), FailureDomain: "d", Carries: []string{"s"}, Tunnel: "127.0.1.1:1", Rpc: "127.0.1.1:2"}
 		cmd, err := catalog.Encode(&catalogpb.Command{Do: &catalogpb.Command_Announce{Announce: &catalogpb.Announce{Hosts: []*catalogpb.Host{h}}}})
 		g.Expect(err).NotTo(HaveOccurred())
-		c.Apply(uint64(i+5), at, cmd)
+		c.Apply(uint64(i+6), at, cmd)
 	}
+	c.Apply(restarts+6, at, commands(t)[6])
+	svc := c.ServiceByID(1)
+	g.Expect(svc.Totals).To(HaveLen(1))
+	g.Expect(svc.Callers).To(HaveLen(1))
+	g.Expect([]uint64{svc.Totals[0].Count, svc.Callers[0].Count}).To(Equal([]uint64{4, 4}))
 	kept := len(c.Changes(1))
 	g.Expect(kept).To(Equal(catalog.MaxChanges))
 	g.Expect(c.ServiceByID(1).ChangesDropped).To(BeEquivalentTo(restarts + 1 - kept)) // one change for the creation
--- a/internal/catalog/hosts.go
+++ b/internal/catalog/hosts.go
@@ -34,6 +34,9 @@
 			return result.Errorf(result.AnnounceNotPermitted, "%s was retired by intent %d", h.Host, old.RetiredBy)
 		}
 	}
+	if old == nil && len(c.hosts) >= MaxHosts {
+		return result.Errorf(result.AnnounceNotPermitted, "%d hosts are known already", MaxHosts)
+	}
 	if other, taken := c.holder(c.byTunnel, h.Tunnel, h.Host); taken {
 		return result.Errorf(result.AnnounceAddressTaken, "tunnel address %s belongs to %s", h.Tunnel, other)
 	}
@@ -108,6 +111,7 @@
 	text := announceText(next, old)
 	switch {
 	case old != nil && old.Incarnation != next.Incarnation:
+		c.foldTotals(old, services)
 		c.recordUncertain(next.Host, text, services...)
 	case text != "":
 		c.record(nil, next.Host, text, services...)
--- a/internal/catalog/intents.go
+++ b/internal/catalog/intents.go
@@ -72,8 +72,8 @@
 	if in, err := c.KeyHolder(cmd.Operator, cmd.Key, cmd.Spec); in != nil || err != nil {
 		return in, err
 	}
-	if cmd.Plan != nil && c.openIntents() >= MaxOpenIntents {
-		return nil, result.Errorf(result.IntentConflict, "%d intents are open; finish or abort some", MaxOpenIntents)
+	if cmd.Plan != nil && !c.makeRoom() {
+		return nil, result.Errorf(result.IntentConflict, "%d plans are running; finish or abort some", MaxOpenIntents)
 	}
 	c.lastIntent++
 	in := &intentpb.Intent{
@@ -97,14 +97,28 @@
 	return in, nil
 }
 
-func (c *Catalog) openIntents() int {
-	open := 0
-	for _, in := range c.intents {
-		if !finished(in.State) {
-			open++
+// makeRoom keeps the number of open intents below MaxOpenIntents: the oldest plan that nobody confirmed ends. It fails
+// when every open plan is confirmed.
+func (c *Catalog) makeRoom() bool {
+	open, oldest := 0, (*intentpb.Intent)(nil)
+	for id, in := range c.intents {
+		if finished(in.State) {
+			continue
 		}
+		open++
+		if in.State == intentpb.State_STATE_PLANNED && (oldest == nil || id < oldest.Id) {
+			oldest = in
+		}
+	}
+	if open < MaxOpenIntents {
+		return true
+	}
+	if oldest == nil {
+		return false
 	}
-	return open
+	oldest.Detail = "ended unconfirmed to make room for a newer plan"
+	c.finish(oldest, intentpb.State_STATE_ABORTED)
+	return true
 }
 
 // replan replaces the plan of an intent that is not confirmed yet.
--- a/internal/catalog/services.go
+++ b/internal/catalog/services.go
@@ -75,6 +75,9 @@
 	if err != nil {
 		return result.Errorf(result.IntentMalformed, "%w", err)
 	}
+	if len(c.byName) >= MaxServices {
+		return result.Errorf(result.IntentConflict, "%d services exist; close some", MaxServices)
+	}
 	c.bump()
 	c.lastService++
 	svc := &catalogpb.Service{
--- a/internal/catalog/totals.go
+++ b/internal/catalog/totals.go
@@ -42,6 +42,9 @@
 // overtaken command changes nothing. Closed services still take counts, since the last ones arrive after the close.
 func (c *Catalog) addTotals(cmd *catalogpb.Totals) error {
 	for _, h := range cmd.Hosts {
+		if h.Incarnation < c.hosts[h.Host].GetIncarnation() {
+			continue // its rows were folded when the newer incarnation announced itself
+		}
 		for _, t := range h.Totals {
 			if svc := c.services[t.Service]; svc != nil {
 				c.rowsOf(svc).addTotal(svc, h, t)
@@ -56,6 +59,52 @@
 	return nil
 }
 
+// foldTotals joins the rows of an ended incarnation with those of earlier ones, so that an account grows with the hosts
+// and not with their restarts.
+func (c *Catalog) foldTotals(ended *catalogpb.Host, services []uint32) {
+	for _, id := range services {
+		svc := c.services[id]
+		totals, callers := svc.Totals, svc.Callers
+		svc.Totals, svc.Callers = nil, nil
+		c.rows[id] = newAccountRows(svc)
+		for _, t := range totals {
+			if t.Host == ended.Host && t.Incarnation == ended.Incarnation {
+				t.Host, t.Incarnation = "", 0
+			}
+			c.rows[id].putTotal(svc, t)
+		}
+		for _, t := range callers {
+			if t.Host == ended.Host && t.Incarnation == ended.Incarnation {
+				t.Host, t.Incarnation = "", 0
+			}
+			c.rows[id].putCaller(svc, t)
+		}
+	}
+}
+
+// putTotal adds a row, or its count to the row with the same key.
+func (r *accountRows) putTotal(svc *catalogpb.Service, t *catalogpb.Total) {
+	key := totalKey{t.Host, t.Incarnation, t.Unit, t.Code, t.Intent}
+	if row := r.totals[key]; row != nil {
+		row.Count += t.Count
+		return
+	}
+	r.totals[key] = t
+	svc.Totals = append(svc.Totals, t)
+}
+
+// putCaller adds a row, or its count to the row with the same key.
+func (r *accountRows) putCaller(svc *catalogpb.Service, t *catalogpb.CallerTotal) {
+	key := callerKey{totalKey{t.Host, t.Incarnation, t.Unit, t.Code, t.Intent}, t.Caller}
+	if row := r.callers[key]; row != nil {
+		row.Count += t.Count
+		row.LastUnixMs = max(row.LastUnixMs, t.LastUnixMs)
+		return
+	}
+	r.callers[key] = t
+	svc.Callers = append(svc.Callers, t)
+}
+
 func (c *Catalog) rowsOf(svc *catalogpb.Service) *accountRows {
 	if c.rows[svc.Id] == nil {
 		c.rows[svc.Id] = newAccountRows(svc)
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -139,6 +139,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.committed) >= catalog.MaxHosts {
+		clear(s.committed)
+	}
 	s.committed[req.Host] = committedTotals{at: s.control.cfg.Now(), incarnation: req.Incarnation, totals: req.Totals}
 	return nil
 }
