Check the role of processes that fetch the configuration

Cause: every peer with a certificate could fetch the configuration.

Change: ConfigurationServer checks the caller's role before dissemination.Server answers.

--- a/internal/control/auth.go
+++ b/internal/control/auth.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
 )
 
 // Caller is who makes a call, as an authentication hook found in the peer's certificate.
@@ -67,6 +70,27 @@
 	return nil
 }
 
+// ConfigurationServer serves the configuration to the system's own processes only. It implements
+// configpb.Configuration; a Fetch is bounded by dissemination.MaxWait.
+type ConfigurationServer struct {
+	server configpb.Configuration
+	auth   Auth
+}
+
+// NewConfigurationServer returns a server that checks the role of its callers.
+func NewConfigurationServer(s configpb.Configuration, auth Auth) *ConfigurationServer {
+	return &ConfigurationServer{server: s, auth: auth}
+}
+
+// Fetch checks the caller's role and passes the call on. A refusal is a twirp error with the code permission_denied.
+func (s *ConfigurationServer) Fetch(ctx context.Context, req *configpb.FetchRequest) (*configpb.FetchResponse, error) {
+	c, _ := CallerFrom(ctx)
+	if !s.auth.Open && c.Role != RoleEntry && c.Role != RoleUpstream && c.Role != RoleControl {
+		return nil, twirp.NewError(twirp.PermissionDenied, result.Errorf(result.PeerNotPermitted, "role %q may not fetch", c.Role).Error())
+	}
+	return s.server.Fetch(ctx, req)
+}
+
 func detailOf(err error) string {
 	var coded *result.Error
 	if errors.As(err, &coded) {
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -10,9 +10,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/catalog"
+	"github.com/plantainseam/plantainseam/internal/control"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/report"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
 	"github.com/plantainseam/plantainseam/rpc/intentpb"
 	"github.com/plantainseam/plantainseam/rpc/memberpb"
 )
@@ -162,6 +164,12 @@
 	ann, err := r.leader().members.Announce(operator("ann"), other)
 	r.g.Expect(err).NotTo(HaveOccurred())
 	r.g.Expect(ann.Code).To(BeEquivalentTo(result.PeerNotPermitted))
+	guarded := control.NewConfigurationServer(r.nodes[0].server, control.Auth{})
+	_, err = guarded.Fetch(operator("ann"), &configpb.FetchRequest{})
+	r.g.Expect(err).To(MatchError(ContainSubstring("PS5301")))
+	entry := control.WithCaller(r.ctx, control.Caller{Name: "e1", Role: control.RoleEntry})
+	_, err = guarded.Fetch(entry, &configpb.FetchRequest{})
+	r.g.Expect(err).NotTo(HaveOccurred())
 }
 
 // Guards against false announcements that change the configuration.
