Start a new lease table after the leader's process was stopped

Cause: a leader that was stopped for 30 s heard some observers before the host that they had not reached, and declared the host lost although it was only not heard yet.

Change: a gap of more than 2 s between two ticks makes the leader confirm its leadership and start an empty lease table.

Figures: TestPausedLeaderDeclaresNobodyLost failed before and passes after; go test -race -count=2 ./internal/control passes.

Conclusion: the leader's own silence is no evidence against hosts.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -21,6 +21,7 @@
 	TickInterval   = 200 * time.Millisecond // leases and plans are looked at this often
 	RequestTimeout = 5 * time.Second        // bound of every server method but Fetch
 	stepTimeout    = 10 * time.Second       // bound of one proposal of a plan
+	maxTickGap     = 2 * time.Second        // below membership.Lease; after a longer gap the lease table is worthless
 )
 
 // Config configures a Control.
@@ -47,6 +48,7 @@
 	// Owned by Run's goroutine.
 	leading  bool
 	electing bool // a Read is in flight that confirms the leadership
+	ticked   time.Time
 	table    *membership.Table
 	running  map[uint64]bool   // intents with a proposal in flight
 	waiting  map[uint64]string // what each running intent waits for
@@ -177,6 +179,11 @@
 		c.leading = false
 		return
 	}
+	now := c.cfg.Now()
+	if now.Sub(c.ticked) > maxTickGap { // the process was stopped: the silence may be its own
+		c.leading = false
+	}
+	c.ticked = now
 	if !c.leading {
 		c.elect(ctx)
 		return
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -295,3 +295,24 @@
 	g.Expect(text.String()).To(And(ContainSubstring("192.0.2.9"), ContainSubstring("plan set to paused by bob"), ContainSubstring("service scan-vault closed")))
 	g.Expect(text.String()).To(MatchRegexp(`flow +7 +7 +0 +0 +0`))
 }
+
+// Guards against a leader whose process was stopped for a while and that takes its own silence for that of the hosts:
+// observers are heard again before the host that they could not reach meanwhile.
+func TestPausedLeaderDeclaresNobodyLost(t *testing.T) {
+	r := deployment(t)
+	for _, host := range []string{"h2", "h3", "e1", "e2"} {
+		r.hosts[host].Unreachable = []string{"h1"}
+	}
+	h1 := r.hosts["h1"]
+	r.settle(1)
+	r.clock.Advance(30 * time.Second)
+	delete(r.hosts, "h1")
+	r.announce()
+	r.ticks()
+	r.settle(1)
+	r.hosts["h1"] = h1
+	r.settle(8)
+	svc := r.log.replicas[0].state.Config().ServiceByName("sample-book")
+	r.g.Expect(svc.Members[0].State).To(Equal(model.UpstreamActive))
+	r.log.replicas[0].state.Read(func(c *catalog.Catalog) { r.g.Expect(c.Host("h1").Losses).To(BeZero()) })
+}
