Forward packets of redirected flows while the home's configuration is behind

Cause: a home with an older configuration than the packet held packets of flows whose owner it knew, until the configuration arrived. A new case of TestEstablishedFlowSurvives did not reach the owner. Change: packets straight from an entry VM follow a confirmed redirect; the configuration is fetched as before. Conclusion: redirected flows do not wait for a revision.

--- a/internal/flow/fault_test.go
+++ b/internal/flow/fault_test.go
@@ -100,6 +100,20 @@
 			}
 			n.entries[0] = n.newest()
 		},
+		"home slow to learn the configuration": func(n *network, c *caller) {
+			for _, h := range []model.HostID{"h2", "h3"} {
+				if h != c.owner.Host {
+					n.state(h, model.UpstreamDraining)
+					break
+				}
+			}
+			for i, h := range n.order {
+				if i > 0 {
+					n.apply(h, n.newest())
+				}
+			}
+			n.entries[0] = n.newest()
+		},
 		"two revisions at once": func(n *network, c *caller) {
 			n.state("h1", model.UpstreamDraining)
 			n.entries[1] = n.newest()
--- a/internal/flow/machine.go
+++ b/internal/flow/machine.go
@@ -89,6 +89,11 @@
 		return m.foreign(now, p, out)
 	}
 	if p.Generation > svc.generation {
+		if known && p.Hops == 0 {
+			// The owner does not depend on the generation. Only packets straight from an entry VM pass, so that two agents
+			// with outdated redirects cannot send a packet back and forth.
+			return m.forward(svc, r.peer(), p, m.fetch(now, out))
+		}
 		return m.holdBehind(now, p, out)
 	}
 	b := svc.bucket(p.Key.Caller)
--- a/internal/flow/types.go
+++ b/internal/flow/types.go
@@ -89,7 +89,10 @@
 
 // Local is the state of the agent's own host.
 type Local struct {
-	AcceptNew bool    // false when draining, without a lease, or closing
+	// AcceptNew is false when draining, without a lease, or closing. The adapter clears it no later than the lease expires
+	// by the agent's own clock. After a lease was lost, it sets it again only when a configuration that was fetched after
+	// the renewal has been applied: an older one may name this agent as a home that others have replaced.
+	AcceptNew bool
 	Load      float64 // running and queued work divided by slots
 	Cold      bool    // the upstream process is still starting
 }
