Test that tombstones refuse delayed assignments

Cause: removing the tombstone check on a scratch copy failed no test. Change: TestDelayedAssignment covers flows that ended, were declined or were audited. Figures: the three cases fail without the check and pass with it. Conclusion: the rule is guarded.

--- a/internal/flow/fault_test.go
+++ b/internal/flow/fault_test.go
@@ -191,22 +191,40 @@
 
 // Guards against an owner that accepts a delayed assignment from an earlier time of the home, which has forgotten it.
 func TestDelayedAssignment(t *testing.T) {
-	cases := map[string]func(n *network, c *caller){
-		"home left and returned": func(n *network, c *caller) {
+	cases := map[string]func(n *network, c *caller, delayed parcel){
+		"home left and returned": func(n *network, c *caller, _ parcel) {
 			n.state("h1", model.UpstreamDraining)
 			n.applyAll()
 			n.run(time.Second)
 			n.state("h1", model.UpstreamActive)
 			n.applyAll()
 		},
-		"home restarted": func(n *network, _ *caller) { n.restart("h1"); n.applyAll() },
-		"owner restarted": func(n *network, c *caller) {
+		"home restarted": func(n *network, _ *caller, _ parcel) { n.restart("h1"); n.applyAll() },
+		"owner restarted": func(n *network, c *caller, _ parcel) {
 			for _, h := range []model.HostID{"h2", "h3", "h4"} {
 				n.restart(h)
 			}
 			n.applyAll()
 		},
-		"bucket promised to a newer home": func(n *network, c *caller) {
+		"flow ended": func(n *network, c *caller, delayed parcel) {
+			n.queue = append(n.queue, delayed)
+			n.flush()
+			n.update(c)
+			n.send(c, 0, 0)
+			n.run(time.Second)
+			n.close(c)
+			n.run(100 * time.Millisecond)
+		},
+		"assignment declined": func(n *network, c *caller, delayed parcel) {
+			n.setLocal(delayed.to, flow.Local{AcceptNew: false})
+			n.queue = append(n.queue, delayed)
+			n.flush()
+			n.setLocal(delayed.to, flow.Local{AcceptNew: true})
+		},
+		"assignment audited": func(n *network, c *caller, delayed parcel) {
+			n.run(50 * time.Second)
+		},
+		"bucket promised to a newer home": func(n *network, c *caller, _ parcel) {
 			revision := n.state("h1", model.UpstreamDraining)
 			n.apply(n.home(c, revision), revision)
 			n.entries[1] = revision
@@ -227,7 +245,7 @@
 			delayed := n.queue[0]
 			n.queue = nil
 			n.setLocal("h1", flow.Local{AcceptNew: true})
-			fault(n, c)
+			fault(n, c, delayed)
 			n.run(time.Second)
 			n.send(c, 0, flow.FlagSYN)
 			n.run(time.Second)
