Test that a returned member loses conflicts at a home that skipped a generation

Cause: removing that condition on a scratch copy failed no test. Change: TestLostMemberReturns has a case in which no other member has confirmed its flows yet. Conclusion: the rule is guarded.

--- a/internal/flow/contract_test.go
+++ b/internal/flow/contract_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -232,6 +233,11 @@
 // Guards against two owners after a member returns that was lost so long that its callers connected again, and against
 // the loss of its idle flows.
 func TestLostMemberReturns(t *testing.T) {
+	t.Run("home saw every generation", func(t *testing.T) { testLostMemberReturns(t, false) })
+	t.Run("home skipped a generation", func(t *testing.T) { testLostMemberReturns(t, true) })
+}
+
+func testLostMemberReturns(t *testing.T, skipped bool) {
 	n := newNetwork(t, 2, hosts...)
 	idle := n.connect(n.homedAt("h3"), 0)
 	reused := n.assigned()
@@ -241,6 +247,7 @@
 	n.agents[lost].alive = false // isolated: it neither sends nor receives
 	n.applyAll()
 	n.run(16 * time.Second)
+	n.setLocal("h1", flow.Local{AcceptNew: false}) // the home assigns the new flow
 	second := n.connect(int(reused.key.Caller.Port())-20000+5000, 0)
 	if !second.established || second.owner.Host == lost {
 		t.Fatalf("the caller cannot connect again: %+v", second)
@@ -248,7 +255,16 @@
 	n.agents[lost].alive = true
 	n.apply(lost, revision)
 	n.state(lost, model.UpstreamActive)
+	if skipped {
+		n.state(lost, model.UpstreamDraining)
+	}
 	n.applyAll()
+	for range 4 {
+		// The returned member registers before any other has confirmed its flows under the new generation.
+		n.tick()
+		n.queue = slices.DeleteFunc(n.queue, func(p parcel) bool { return isRegister(p) && p.from.Host != lost })
+		n.flush()
+	}
 	n.run(2 * time.Second)
 	if owners := n.owners(reused.key); len(owners) != 1 || owners[0] != second.owner.Host {
 		t.Fatalf("owners %v, want %s", owners, second.owner.Host)
