Guard the remaining ownership rules with tests

Cause: on a scratch copy, four rules could be removed without a failing test: forgetting redirects when a home returns, asking again after a lost member returns, declining packets of an outdated redirect, and the share of SYNs in the hold queue. Change: one test for each, and one for redirects of an earlier home. Conclusion: not guarded are the exclusion of a declining host, the check that a home's own decision is not replaced (the order of statements already prevents its cause), and plain drops instead of declines when the half-open table is full.

--- a/internal/flow/contract_test.go
+++ b/internal/flow/contract_test.go
@@ -239,8 +239,10 @@
 
 func testLostMemberReturns(t *testing.T, skipped bool) {
 	n := newNetwork(t, 2, hosts...)
-	idle := n.connect(n.homedAt("h3"), 0)
-	reused := n.assigned()
+	reused, idle := n.assigned(), n.assigned()
+	for idle.owner != reused.owner {
+		idle = n.assigned()
+	}
 	lost := reused.owner.Host
 	n.setLocal(lost, flow.Local{AcceptNew: false})
 	revision := n.state(lost, model.UpstreamLost)
@@ -259,10 +261,12 @@
 		n.state(lost, model.UpstreamDraining)
 	}
 	n.applyAll()
+	n.send(idle, 0, 0)
+	n.flush() // the home has deleted its redirect and must ask
 	for range 4 {
 		// The returned member registers before any other has confirmed its flows under the new generation.
 		n.tick()
-		n.queue = slices.DeleteFunc(n.queue, func(p parcel) bool { return isRegister(p) && p.from.Host != lost })
+		n.queue = slices.DeleteFunc(n.queue, func(p parcel) bool { return is[flow.Register](p) && p.from.Host != lost })
 		n.flush()
 	}
 	n.run(2 * time.Second)
--- a/internal/flow/fault_test.go
+++ b/internal/flow/fault_test.go
@@ -400,22 +400,104 @@
 	g.Expect(n.resets).To(Equal(map[result.Code]int{result.FlowTableFull: 20}))
 }
 
-// Guards against redirects that remain when the message about the end of a flow is lost.
-func TestLostReleaseIsAudited(t *testing.T) {
+// Guards against redirects that remain when the message about the end of a flow is lost, and against packets that two
+// agents then send back and forth.
+func TestLostRelease(t *testing.T) {
+	for name, notice := range map[string]func(n *network, c *caller){
+		"audit":  func(n *network, _ *caller) { n.run(5 * time.Second) },
+		"packet": func(n *network, c *caller) { n.send(c, 0, 0); n.flush() },
+		"SYN": func(n *network, c *caller) {
+			n.setLocal(c.owner.Host, flow.Local{})
+			n.send(c, 0, flow.FlagSYN)
+			n.flush()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := newNetwork(t, 1, hosts...)
+			c := n.assigned()
+			g.Expect(n.agents["h1"].Stats().Redirects).To(Equal(1))
+			n.close(c)
+			n.tick()
+			n.queue = nil
+			notice(n, c)
+			if name == "SYN" {
+				g.Expect(n.owners(c.key)).To(HaveLen(1))
+			} else {
+				g.Expect(n.agents["h1"].Stats().Redirects).To(BeZero())
+			}
+			g.Expect(n.drops).NotTo(HaveKey(result.TunnelHopLimit))
+		})
+	}
+}
+
+// Guards against a redirect from an earlier time as home that makes the home refuse the registration of a live owner.
+func TestHomeReturnsWithOldRedirect(t *testing.T) {
+	n := newNetwork(t, 1, hosts...)
+	first := n.assigned()
+	n.moveHome(first)
+	n.run(time.Second)
+	n.close(first)
+	n.setLocal(first.owner.Host, flow.Local{AcceptNew: false})
+	n.run(time.Second)
+	second := n.connect(int(first.key.Caller.Port())-20000+5000, 0)
+	if !second.established || second.owner == first.owner {
+		t.Fatalf("the caller cannot connect again: %+v", second)
+	}
+	n.state("h1", model.UpstreamActive)
+	n.applyAll()
+	for range 4 { // every other member seals first, and the home does not audit
+		n.tick()
+		n.queue = slices.DeleteFunc(n.queue, func(p parcel) bool {
+			return is[flow.Query](p) || is[flow.Register](p) && p.from == second.owner
+		})
+		n.flush()
+	}
+	n.run(500 * time.Millisecond)
+	if !n.reaches(second, 0) {
+		t.Fatalf("the flow does not reach its owner; drops %v resets %v", n.drops, n.resets)
+	}
+}
+
+// Guards against redirects that an earlier home keeps for ever.
+func TestEarlierHomeForgetsRedirects(t *testing.T) {
 	g := NewWithT(t)
 	n := newNetwork(t, 1, hosts...)
-	c := n.assigned()
+	n.moveHome(n.assigned())
+	n.run(time.Second)
 	g.Expect(n.agents["h1"].Stats().Redirects).To(Equal(1))
-	n.close(c)
-	n.tick()
-	n.queue = nil
-	n.run(5 * time.Second)
+	n.run(30 * time.Second)
 	g.Expect(n.agents["h1"].Stats().Redirects).To(BeZero())
 }
 
-func isRegister(p parcel) bool {
+// Guards against held SYNs that leave no room for packets of established flows.
+func TestHeldSYNsLeaveRoom(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(t, 1, hosts...)
+	c := n.assigned()
+	n.state("h1", model.UpstreamDraining)
+	for _, h := range n.order[1:] {
+		if h != c.owner.Host && h != n.home(c, n.newest()) {
+			n.crash(h) // silent and not yet declared lost: it does not seal
+			break
+		}
+	}
+	n.applyAll()
+	for i := range 16 * flow.DefaultMaxHeld {
+		n.send(&caller{key: benchKey(i)}, 0, flow.FlagSYN)
+		n.flush()
+	}
+	home := n.agents[n.home(c, n.newest())]
+	held := home.Stats().Held
+	g.Expect(held).To(Equal(flow.DefaultMaxHeld / 2))
+	n.act(home, home.Packet(n.now, flow.Packet{Key: c.key, Generation: model.Revision(n.newest())}, nil))
+	g.Expect(home.Stats().Held).To(Equal(held + 1))
+}
+
+// is reports whether a parcel holds a message of type M.
+func is[M flow.Message](p parcel) bool {
 	m, _ := wire.Decode(p.data)
-	_, ok := m.(flow.Register)
+	_, ok := m.(M)
 	return p.packet == nil && ok
 }
 
@@ -441,7 +523,7 @@
 	n.applyAll()
 	for range 6 {
 		n.tick()
-		n.queue = slices.DeleteFunc(n.queue, isRegister) // the other members have not sealed yet
+		n.queue = slices.DeleteFunc(n.queue, is[flow.Register]) // the other members have not sealed yet
 		n.flush()
 	}
 	second := &caller{key: first.key}
