Let a returned member register after the other members have sealed

Cause: shorter set-up code in TestLostMemberReturns left the newer flow half-open. A home that had skipped a generation and dropped its unconfirmed assignment then took the returned member's outdated flow and rejected the newer owner. Change: the home acknowledges flows of a returned member only when every member that was not lost has sealed the bucket. Conclusion: the newer owner keeps its flow also while it is half-open.

--- a/internal/flow/network_test.go
+++ b/internal/flow/network_test.go
@@ -391,6 +391,26 @@
 	return false
 }
 
+// mustReach fails the test when no packet through the entry VM reaches the flow's owner.
+func (n *network) mustReach(c *caller, entry int) {
+	n.t.Helper()
+	if !n.reaches(c, entry) {
+		n.t.Fatalf("%s does not reach its owner %s by entry %d: drops %v, resets %v", c.key, c.owner, entry, n.drops, n.resets)
+	}
+}
+
+// reconnect opens an ended flow of the same caller port, which must get another owner.
+func (n *network) reconnect(first *caller) *caller {
+	n.t.Helper()
+	c := &caller{key: first.key}
+	n.send(c, 0, flow.FlagSYN)
+	n.flush()
+	if n.update(c); !c.established || c.owner == first.owner {
+		n.t.Fatalf("the caller cannot connect again: %+v", c)
+	}
+	return c
+}
+
 func callerKey(i int) model.FlowKey {
 	addr := netip.AddrFrom4([4]byte{127, 4, byte(i >> 8), byte(i)})
 	return model.FlowKey{Service: serviceID, Caller: netip.AddrPortFrom(addr, uint16(20000+i%1000))}
--- a/internal/flow/register.go
+++ b/internal/flow/register.go
@@ -162,6 +162,9 @@
 		if svc.homes[b] != selfPeer {
 			continue
 		}
+		if seat != nil && seat.returned && m.awaitsOthers(now, svc, b) {
+			return out
+		}
 		ok, full := m.recordOwner(svc, seat, k, b, from.index)
 		if full {
 			return out
@@ -189,6 +192,14 @@
 	return m.snapshot.Revision
 }
 
+// awaitsOthers reports whether members that were never lost have still to seal the bucket. Until then a flow of a returned
+// member may belong to one of them.
+func (m *machine) awaitsOthers(now time.Time, svc *service, b uint32) bool {
+	return slices.ContainsFunc(svc.seats, func(s *seat) bool {
+		return !s.returned && svc.missing(s, b) && !s.excused(now, true)
+	})
+}
+
 // recordOwner installs a redirect to a member that says it owns the flow. Another record of the flow is outdated when it
 // was neither made by this home's own decision nor confirmed since the agent became the home. Otherwise the member was
 // lost and the flow was accepted elsewhere in the meantime; then the newer owner keeps it.
