Give the flow machine a time that never goes back

Cause: under load some new flows were reset right after their handshake. A tick carried the time at which it became due, which may lie before the packet handled just before it; the machine's ages are unsigned seconds, so across the boundary of a second it took a new half-open flow for an expired one.

--- a/internal/agent/packets.go
+++ b/internal/agent/packets.go
@@ -24,6 +24,7 @@
 	actions  []flow.Action
 	events   []event
 	buf      []byte // outgoing packets, with room for the header in front
+	start    time.Time
 }
 
 func newPacketLoop(a *Agent) *packetLoop {
@@ -33,9 +34,14 @@
 		view:    a.view.Load(),
 		codec:   tunnel.NewCodec(&a.keys),
 		buf:     make([]byte, tunnel.MaxHeader+maxDatagram),
+		start:   time.Now(),
 	}
 }
 
+// now returns the time for the machine. It never goes back, not even when the wall clock is set: the machine measures
+// ages in unsigned seconds, and with an earlier time it would take a new half-open flow for an expired one.
+func (l *packetLoop) now() time.Time { return l.start.Add(time.Since(l.start)) }
+
 // command runs f on the packet goroutine and waits for its end. It does nothing once the agent is closed.
 func (a *Agent) command(f func(l *packetLoop, now time.Time)) {
 	done := make(chan struct{})
@@ -61,13 +67,15 @@
 		case <-l.agent.stop:
 			return
 		case <-l.agent.events.ready:
-			l.handleEvents(time.Now())
+			l.handleEvents(l.now())
 		case f := <-l.agent.commands:
-			f(l, time.Now())
+			f(l, l.now())
 		case in := <-l.agent.inbound:
-			l.handle(time.Now(), in)
+			l.handle(l.now(), in)
 			inboundPool.Put(in)
-		case now := <-ticker.C:
+		case <-ticker.C:
+			// The time in the channel is that of the tick, which may be before the last packet's.
+			now := l.now()
 			l.handleEvents(now)
 			l.actions = l.machine.Tick(now, l.actions[:0])
 			l.execute(now)
