--- a/internal/agent/change_test.go
+++ b/internal/agent/change_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/internal/tunnel"
 	"github.com/plantainseam/plantainseam/standin/caller"
 	"github.com/plantainseam/plantainseam/standin/fabric"
 	"github.com/plantainseam/plantainseam/standin/site"
@@ -89,6 +91,25 @@
 	}
 }
 
+// Guards against packets being refused while a key is replaced on one process after the other.
+func TestKeyRotationUnderFlows(t *testing.T) {
+	g := NewWithT(t)
+	s, flows := newLines(t, site.Options{Seed: 15}, fabric.Faults{}, 20)
+	first, second := site.TestKey(1), site.TestKey(2)
+	hosts := []model.HostID{"u1", "e1", "u2", "e2", "u3", "e3"}
+	for _, step := range [][]tunnel.Key{{first, second}, {second, first}, {second}} {
+		keys, err := tunnel.NewKeyRing(step[0], step[1:]...)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, host := range hosts {
+			s.SetKeys(keys, host)
+			checkAll(t, flows)
+		}
+	}
+	for _, host := range []model.HostID{"u1", "u2", "u3"} {
+		g.Expect(s.Agent(host).Counters().Dropped).NotTo(HaveKey(result.TunnelForged))
+	}
+}
+
 // Guards against a flow that breaks, or a line that is lost or answered twice, on a lossy path that reorders and
 // duplicates.
 func TestLossAndReorder(t *testing.T) {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -253,6 +253,19 @@
 	}()
 }
 
+// SetKeys gives a key ring to some processes; processes that start later get it too.
+func (s *Site) SetKeys(keys *tunnel.KeyRing, hosts ...model.HostID) {
+	s.Keys = keys
+	for _, host := range hosts {
+		if e := s.entries[host]; e != nil {
+			e.SetKeys(keys)
+		}
+		if a := s.agents[host]; a != nil {
+			a.SetKeys(keys)
+		}
+	}
+}
+
 // Agent returns a running agent.
 func (s *Site) Agent(host model.HostID) *agent.Agent { return s.agents[host] }
 
