Lossy path between agents and drains in the fault benchmark; stand-ins

Cause: the fault benchmark lost messages to the log only, and one long answer could displace all retained answers. Change: standin/lossy and standin/upstream; 10% of calls between agents are lost and hosts drain during the run; an answer above an eighth of the retained bytes is not kept; a finished run whose owner is gone is answered after 2 s.

--- a/internal/gate/faults_bench_test.go
+++ b/internal/gate/faults_bench_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/plantainseam/plantainseam/internal/gate"
 	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/request"
+	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
 // verdict sums what callers were told against what ran.
@@ -33,25 +35,25 @@
 }
 
 // faultyUpstream draws a behaviour per request: 4% each shed, crash after the run, truncate, and answer late.
-func faultyUpstream(seed uint64) func(*http.Request, string) behaviour {
+func faultyUpstream(seed uint64) func(*http.Request, string) upstream.Behaviour {
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(seed, 2))
-	return func(*http.Request, string) behaviour {
+	return func(*http.Request, string) upstream.Behaviour {
 		mu.Lock()
 		defer mu.Unlock()
-		b := behaviour{delay: time.Duration(random.IntN(4)) * time.Millisecond}
+		b := upstream.Behaviour{Delay: time.Duration(random.IntN(4)) * time.Millisecond}
 		switch p := random.IntN(100); {
 		case p < 4:
-			b.shed = true
+			b.Shed = true
 		case p < 8:
-			b.crash = true
+			b.Crash = true
 		case p < 12:
-			b.cut = true
+			b.Cut = true
 		case p < 16:
-			b.delay = time.Duration(300+random.IntN(500)) * time.Millisecond
+			b.Delay = time.Duration(300+random.IntN(500)) * time.Millisecond
 		}
 		if random.IntN(20) == 0 {
-			b.size = 200 << 10
+			b.Size = 200 << 10
 		}
 		return b
 	}
@@ -128,6 +130,7 @@
 	for range b.N {
 		c := newCluster(3, seed, faultyUpstream(seed), nil)
 		c.log.set(func(l *log) { l.lose = 0.1 })
+		c.peers.SetShare(0.1)
 		v := &verdict{codes: map[string]int{}}
 		stop := make(chan struct{})
 		var chaos, all sync.WaitGroup
@@ -158,7 +161,7 @@
 	}
 }
 
-// restartAgents restarts an agent every 400 ms and takes the log away for 200 ms now and then.
+// restartAgents restarts an agent every 400 ms, or takes the log away for 200 ms, or drains a host for 200 ms.
 func restartAgents(c *cluster, stop chan struct{}, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 3))
 	for {
@@ -167,12 +170,18 @@
 			return
 		case <-time.After(400 * time.Millisecond):
 		}
-		if random.IntN(3) == 0 {
+		host := model.HostID(fmt.Sprint("host-", random.IntN(len(c.service.Members))))
+		switch random.IntN(4) {
+		case 0:
 			c.log.set(func(l *log) { l.down = true })
 			time.Sleep(200 * time.Millisecond)
 			c.log.set(func(l *log) { l.down = false })
-			continue
+		case 1:
+			c.node(host).gate.SetLocal(request.Local{Draining: true})
+			time.Sleep(200 * time.Millisecond)
+			c.node(host).gate.SetLocal(request.Local{})
+		default:
+			c.restart(host)
 		}
-		c.restart(model.HostID(fmt.Sprint("host-", random.IntN(len(c.service.Members)))))
 	}
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/gate"
+	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
 // Guards against a retry through the same or another agent that runs the request again or gets another answer.
@@ -39,7 +40,7 @@
 	for _, size := range []int{100, 1 << 20, 3 << 20} {
 		for _, method := range []string{"POST", "GET"} {
 			g := NewWithT(t)
-			c := withCluster(t, 1, func(*http.Request, string) behaviour { return behaviour{cut: true, size: size} })
+			c := withCluster(t, 1, func(*http.Request, string) upstream.Behaviour { return upstream.Behaviour{Cut: true, Size: size} })
 			r := c.send(context.Background(), "host-0", method, "k", "scan")
 			g.Expect(r.err != nil || r.code == "3203").To(BeTrue(), "%d %s %v", size, method, r.status)
 		}
@@ -49,7 +50,7 @@
 // Guards against a whole long answer that is altered on the way.
 func TestLongAnswerIsWhole(t *testing.T) {
 	g := NewWithT(t)
-	c := withCluster(t, 1, func(*http.Request, string) behaviour { return behaviour{size: 5 << 20} })
+	c := withCluster(t, 1, func(*http.Request, string) upstream.Behaviour { return upstream.Behaviour{Size: 5 << 20} })
 	for _, method := range []string{"GET", "POST"} {
 		r := c.send(context.Background(), "host-0", method, "k", "scan")
 		g.Expect(r.err).NotTo(HaveOccurred())
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -23,6 +23,8 @@
 	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/rpc/bindpb"
 	"github.com/plantainseam/plantainseam/rpc/gatepb"
+	"github.com/plantainseam/plantainseam/standin/lossy"
+	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
 const serviceID model.ServiceID = 7
@@ -71,69 +73,10 @@
 	f(l)
 }
 
-// upstream records what it ran. behave returns how to answer one request.
-type upstream struct {
-	*httptest.Server
-	mu     sync.Mutex
-	ran    map[string]int // by the body of the request
-	behave func(r *http.Request, body string) behaviour
-}
-
-type behaviour struct {
-	shed  bool          // do not run; declare it
-	delay time.Duration // before running
-	cut   bool          // run, and end the answer early
-	crash bool          // run, and close the connection without an answer
-	size  int           // of the answer in bytes; 0 for a short text
-}
-
-func newUpstream(behave func(*http.Request, string) behaviour) *upstream {
-	u := &upstream{ran: map[string]int{}, behave: behave}
-	u.Server = httptest.NewServer(http.HandlerFunc(u.serve))
-	return u
-}
-
-func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
-	data, _ := io.ReadAll(r.Body)
-	body := string(data)
-	b := u.behave(r, body)
-	if b.shed {
-		w.Header().Set(gate.HeaderResult, "3005 request-shed")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if b.delay > 0 {
-		time.Sleep(b.delay)
-	}
-	u.mu.Lock()
-	u.ran[body]++
-	u.mu.Unlock()
-	text := "ran " + body
-	if b.size > 0 {
-		text = strings.Repeat("x", b.size)
-	}
-	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
-	if b.crash {
-		panic(http.ErrAbortHandler)
-	}
-	if b.cut {
-		_, _ = io.WriteString(w, text[:len(text)/2])
-		w.(http.Flusher).Flush()
-		panic(http.ErrAbortHandler)
-	}
-	_, _ = io.WriteString(w, text)
-}
-
-func (u *upstream) runs(body string) int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.ran[body]
-}
-
 // node is one gate with its upstream, its RPC server and its account.
 type node struct {
 	gate     *gate.Gate
-	upstream *upstream
+	upstream *upstream.Server
 	rpc      *httptest.Server
 	account  *account.Counter
 	ref      model.HostRef
@@ -146,11 +89,12 @@
 	log     *log
 	control *httptest.Server
 	client  *http.Client
+	peers   *lossy.Transport // between gates
 	service *model.Service
 	config  func(*request.Config)
 }
 
-func newCluster(hosts int, seed uint64, behave func(*http.Request, string) behaviour, config func(*request.Config)) *cluster {
+func newCluster(hosts int, seed uint64, behave func(*http.Request, string) upstream.Behaviour, config func(*request.Config)) *cluster {
 	c := &cluster{
 		nodes:   map[model.HostID]*node{},
 		log:     newLog(seed),
@@ -158,19 +102,20 @@
 		service: &model.Service{ID: serviceID, Name: "sample-book", Kind: model.KindRequest, QueueLimit: 64},
 		config:  config,
 	}
+	c.peers = lossy.New(c.client.Transport, seed)
 	c.control = httptest.NewServer(bindpb.NewBindingsServer(binding.NewServer(c.log)))
 	for i := range hosts {
 		host := model.HostID(fmt.Sprintf("host-%d", i))
 		c.service.Members = append(c.service.Members, model.Member{Host: host, State: model.UpstreamActive})
 	}
 	for _, member := range c.service.Members {
-		c.start(model.HostRef{Host: member.Host, Incarnation: 1}, newUpstream(behave))
+		c.start(model.HostRef{Host: member.Host, Incarnation: 1}, upstream.New(behave))
 	}
 	return c
 }
 
 // start adds a node. The upstream process outlives the agent, as it does on a VM.
-func (c *cluster) start(ref model.HostRef, u *upstream) *node {
+func (c *cluster) start(ref model.HostRef, u *upstream.Server) *node {
 	cfg := request.DefaultConfig(ref)
 	if c.config != nil {
 		c.config(&cfg)
@@ -201,7 +146,7 @@
 	if n == nil {
 		return nil, false
 	}
-	return gatepb.NewGateProtobufClient(n.rpc.URL, c.client), true
+	return gatepb.NewGateProtobufClient(n.rpc.URL, &http.Client{Transport: c.peers}), true
 }
 
 func (c *cluster) node(host model.HostID) *node {
@@ -233,7 +178,7 @@
 func (c *cluster) runs(body string) int {
 	n := 0
 	for _, node := range c.nodes {
-		n += node.upstream.runs(body)
+		n += node.upstream.Runs(body)
 	}
 	return n
 }
@@ -296,9 +241,9 @@
 	return client, <-accepted
 }
 
-func plain(*http.Request, string) behaviour { return behaviour{} }
+func plain(*http.Request, string) upstream.Behaviour { return upstream.Behaviour{} }
 
-func withCluster(t testing.TB, hosts int, behave func(*http.Request, string) behaviour) *cluster {
+func withCluster(t testing.TB, hosts int, behave func(*http.Request, string) upstream.Behaviour) *cluster {
 	c := newCluster(hosts, 1, behave, nil)
 	t.Cleanup(c.close)
 	return c
--- a/internal/gate/overload_bench_test.go
+++ b/internal/gate/overload_bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/plantainseam/plantainseam/internal/gate"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/request"
+	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
 const (
@@ -27,11 +28,11 @@
 )
 
 // slotted is an upstream process that runs 3 requests at once, queues the others itself and skips cancelled ones.
-func slotted(seed uint64) func(*http.Request, string) behaviour {
+func slotted(seed uint64) func(*http.Request, string) upstream.Behaviour {
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(seed, 4))
 	slots := map[string]chan struct{}{}
-	return func(r *http.Request, _ string) behaviour {
+	return func(r *http.Request, _ string) upstream.Behaviour {
 		mu.Lock()
 		local := r.Context().Value(http.LocalAddrContextKey).(fmt.Stringer).String()
 		if slots[local] == nil {
@@ -43,11 +44,11 @@
 		select {
 		case slot <- struct{}{}:
 		case <-r.Context().Done():
-			return behaviour{}
+			return upstream.Behaviour{}
 		}
 		time.Sleep(d)
 		<-slot
-		return behaviour{}
+		return upstream.Behaviour{}
 	}
 }
 
@@ -59,7 +60,7 @@
 	var all sync.WaitGroup
 	var answers atomic.Int64
 	for range overloadHosts {
-		u := newUpstream(behave)
+		u := upstream.New(behave)
 		defer u.Close()
 		for range overloadSlots {
 			all.Go(func() {
--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -19,6 +19,7 @@
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/request"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
 // rawUpstream accepts connections and hands each to serve, which speaks HTTP by hand.
@@ -131,7 +132,7 @@
 			t.Cleanup(cl.close)
 			old := cl.nodes["host-0"].upstream
 			cl.nodes["host-0"].gate.Close()
-			n := cl.start(cl.nodes["host-0"].ref, &upstream{Server: &httptest.Server{URL: "http://" + addr}})
+			n := cl.start(cl.nodes["host-0"].ref, &upstream.Server{Server: &httptest.Server{URL: "http://" + addr}})
 			n.upstream = old
 			r := cl.send(context.Background(), "host-0", c.method, "k", "x")
 			g.Expect(r.code).To(Equal(c.code), fmt.Sprint(r))
@@ -147,7 +148,7 @@
 	for _, method := range []string{"GET", "POST"} {
 		r := c.send(context.Background(), "host-0", method, "k"+method, method)
 		g.Expect(r).To(Equal(reply{200, "0", "ran " + method, nil}))
-		g.Expect(c.node("host-0").upstream.runs(method)).To(BeZero())
+		g.Expect(c.node("host-0").upstream.Runs(method)).To(BeZero())
 	}
 	g.Expect(c.node("host-0").account.Sums(serviceID, 2).Answered).To(Equal(uint64(2)))
 	g.Expect(c.node("host-1").account.Sums(serviceID, 2).Issued).To(BeZero(), "counted once, where the caller is")
@@ -159,7 +160,7 @@
 func TestOwnerRestarts(t *testing.T) {
 	g := NewWithT(t)
 	release := make(chan struct{})
-	c := withCluster(t, 2, func(*http.Request, string) behaviour { <-release; return behaviour{} })
+	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour { <-release; return upstream.Behaviour{} })
 	first := make(chan reply, 1)
 	go func() { first <- c.send(context.Background(), "host-0", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
@@ -176,7 +177,7 @@
 func TestJoinOfLongRun(t *testing.T) {
 	g := NewWithT(t)
 	release := make(chan struct{})
-	c := withCluster(t, 2, func(*http.Request, string) behaviour { <-release; return behaviour{} })
+	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour { <-release; return upstream.Behaviour{} })
 	replies := make(chan reply, 2)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { replies <- c.send(ctx, "host-0", "POST", "k", "match") }()
@@ -207,10 +208,10 @@
 func TestCancelReachesUpstream(t *testing.T) {
 	g := NewWithT(t)
 	ended := make(chan string, 2)
-	c := withCluster(t, 1, func(r *http.Request, body string) behaviour {
+	c := withCluster(t, 1, func(r *http.Request, body string) upstream.Behaviour {
 		<-r.Context().Done()
 		ended <- body + r.Header.Get(gate.HeaderDeadline)
-		return behaviour{}
+		return upstream.Behaviour{}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
--- a/internal/request/admission_test.go
+++ b/internal/request/admission_test.go
@@ -262,31 +262,37 @@
 	g.Expect(b.m.Remaining()).To(HaveLen(1))
 }
 
-// Guards against answers kept without bound, and against a retry of an evicted one that is told anything but "ran".
+// Guards against answers kept without bound, and against one long answer that displaces all others. Answers have 164
+// bytes each.
 func TestRetainedAnswersAreBounded(t *testing.T) {
-	for name, change := range map[string]func(*request.Config){
-		"count": func(c *request.Config) { c.RetainCount = 3 },
-		"bytes": func(c *request.Config) { c.RetainBytes = 3 * 164 },
+	for name, c := range map[string]struct {
+		count, bytes  int
+		held, answers int // of 12
+	}{
+		"count": {count: 3, bytes: 1 << 20, held: 3, answers: 3},
+		"bytes": {count: 100, bytes: 8*164 + 100, held: 8, answers: 8},
+		"long":  {count: 100, bytes: 8*164 - 8, held: 12, answers: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			b := newBench(change)
-			for i := range 5 {
+			b := newBench(func(cfg *request.Config) { cfg.RetainCount, cfg.RetainBytes = c.count, c.bytes })
+			held, answers := 0, 0
+			for i := range 12 {
 				b.sendEvent(request.Received{Service: service, Key: fmt.Sprint("k", i)})
 				b.end(time.Millisecond, request.RunAnswered)
 			}
-			held := 0
-			for _, a := range b.m.Handle(b.now, request.JoinAsked{ID: 200, Service: service, Key: "k0"}, nil) {
-				g.Expect(a.Held).To(BeFalse(), "evicted; the log answers")
-			}
-			for i := range 5 {
-				for _, a := range b.m.Handle(b.now, request.JoinAsked{ID: request.ID(300 + i), Service: service, Key: fmt.Sprint("k", i)}, nil) {
-					if a.Held && a.Answer != nil {
-						held++
-					}
+			for i := range 12 {
+				asked := request.JoinAsked{ID: request.ID(100 + i), Service: service, Key: fmt.Sprint("k", i)}
+				a := b.m.Handle(b.now, asked, nil)[0]
+				switch {
+				case a.Held && a.Answer != nil:
+					held, answers = held+1, answers+1
+				case a.Held:
+					held++
+					g.Expect(a.Code).To(Equal(result.RequestAnswerNotRetained))
 				}
 			}
-			g.Expect(held).To(Equal(3))
+			g.Expect([]int{held, answers}).To(Equal([]int{c.held, c.answers}))
 		})
 	}
 }
--- a/internal/request/elsewhere.go
+++ b/internal/request/elsewhere.go
@@ -11,6 +11,10 @@
 // joinPause separates attempts to learn the outcome of a key from the log and its owner.
 const joinPause = 100 * time.Millisecond
 
+// finishedPatience bounds the attempts to fetch the answer of a run that the log knows to have ended. Without the owner
+// only the answer's text is missing.
+const finishedPatience = 2 * time.Second
+
 // maxHandOvers bounds the agents that one request is offered to.
 const maxHandOvers = 3
 
@@ -28,13 +32,16 @@
 	w.owner = a.Owner
 	w.ownerFinished = a.Outcome == binding.Finished
 	w.ownerCode = a.Code
-	if w.ownerFinished && (a.Code != result.OK || a.Owner == m.cfg.Self) {
+	if w.ownerFinished && (a.Code != result.OK || a.Owner.Host == m.cfg.Self.Host) {
 		m.endJoin(w)
 		return
 	}
 	if w.giveUpAt.IsZero() {
 		w.giveUpAt = m.now.Add(m.cfg.JoinPatience)
 	}
+	if finished := m.now.Add(finishedPatience); w.ownerFinished && finished.Before(w.giveUpAt) {
+		w.giveUpAt = finished
+	}
 	m.join(w)
 }
 
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -9,6 +9,9 @@
 	"github.com/plantainseam/plantainseam/internal/result"
 )
 
+// retainShare keeps one long answer from displacing all others: it may take this part of the retained bytes.
+const retainShare = 8
+
 // dispatch sends a queued work to the local upstream.
 func (m *Machine) dispatch(w *work) {
 	m.setState(w, stateRunning)
@@ -104,6 +107,9 @@
 		return
 	}
 	w.code, w.answer = code, a
+	if a != nil && a.size() > m.cfg.RetainBytes/retainShare {
+		w.answer = nil
+	}
 	m.setState(w, stateFinishing)
 	delete(m.works, w.ID)
 	m.ended[w.ID] = w
