Bounded deadlines, early check of targets, machine statistics

Cause: a deadline years ahead kept a record for years; a target that the transport cannot send counted as a failure of the upstream, so a caller could get it ejected. Change: deadlines lie at most 24 h ahead (PS3011), checked by the gate and the table; targets are checked on receipt; Stats of the machine and the gate for metrics. Conclusion: the life of a record is bounded, and only the upstream's own failures eject it.

--- a/internal/binding/binding_test.go
+++ b/internal/binding/binding_test.go
@@ -126,6 +126,7 @@
 		{"delayed bind of an ended incarnation blocks a key", []step{{bind: &binding.Request{Service: 7, Key: "other", Owner: a2, Attempt: 1}, want: binding.Bound}, bindStep(a1, 1, "x", binding.Unknown), bindStep(b1, 1, "x", binding.Bound)}},
 		{"restore loses a binding", []step{bindStep(a1, 1, "x", binding.Bound), {restore: true}, bindStep(b1, 1, "x", binding.Owned), bindStep(a1, 1, "x", binding.Bound)}},
 		{"bind after the deadline", []step{timed(5*time.Second, 5*time.Second, a1, binding.Expired, result.RequestDeadlinePassed)}},
+		{"record that is kept for years", []step{timed(0, 25*time.Hour, a1, binding.Expired, result.RequestMalformed)}},
 		{"expired record: refused as not run", []step{timed(0, 5*time.Second, a1, binding.Bound, 0), timed(64*time.Second, 5*time.Second, b1, binding.Owned, 0), timed(65*time.Second, 5*time.Second, b1, binding.Expired, result.RequestKeyUnchecked)}},
 		{"time that goes back revives a record or a deadline", []step{timed(65*time.Second, 5*time.Second, a1, binding.Expired, result.RequestKeyUnchecked), timed(0, 5*time.Second, b1, binding.Expired, result.RequestKeyUnchecked)}},
 		{"key without a deadline expires early", []step{bindStep(a1, 1, "x", binding.Bound), {at: 24*time.Hour - time.Second, bind: ptr(request(b1, 1, "x", 0)), want: binding.Owned}}},
--- a/internal/binding/table.go
+++ b/internal/binding/table.go
@@ -16,6 +16,8 @@
 	KeepAfterDeadline = 60 * time.Second
 	// KeepWithoutDeadline is the life of a key that has no deadline. A gate ends every run long before.
 	KeepWithoutDeadline = 24 * time.Hour
+	// MaxDeadline bounds how far ahead a deadline may lie, and with it the life of a record.
+	MaxDeadline = 24 * time.Hour
 	// sweepInterval spaces full scans for expired records; a scan of a million records takes tens of milliseconds.
 	sweepInterval = 8 * time.Second
 	// fullSweepInterval applies while the table is full.
@@ -241,6 +243,9 @@
 		}
 		return &bindpb.BindResponse{Outcome: bindpb.Outcome_OUTCOME_EXPIRED, Code: uint32(code)}
 	}
+	if m.DeadlineUnixMs > t.at+MaxDeadline.Milliseconds() {
+		return &bindpb.BindResponse{Outcome: bindpb.Outcome_OUTCOME_EXPIRED, Code: uint32(result.RequestMalformed)}
+	}
 	if len(t.records) >= t.limit {
 		t.counts.Full++
 		return &bindpb.BindResponse{Outcome: bindpb.Outcome_OUTCOME_FULL, Code: uint32(result.RequestBindingsFull)}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,23 +61,25 @@
 	// OnDrainOverdue is called with the remaining callers when a drain passes its deadline; may be nil. Neither
 	// function may call the gate or block.
 	OnDrainOverdue func(callers []string)
+	// ErrorLog receives errors of the HTTP server; the standard logger if nil.
+	ErrorLog       *log.Logger
 	MaxBody        int64 // bytes; DefaultMaxBody if 0
 	MaxConnections int   // 0 for no limit
 }
 
 // Gate serves the request services of one agent.
 type Gate struct {
-	cfg    Config
-	server *http.Server
-	conns  *connListener
-	events chan input
-	ctx    context.Context
-	cancel context.CancelFunc
-	done   chan struct{} // closed when the loop has ended
-	calls  sync.WaitGroup
-	lastID atomic.Uint64
-	open   atomic.Int64
-	stats  atomic.Pointer[Stats]
+	cfg          Config
+	server       *http.Server
+	conns        *connListener
+	events       chan input
+	ctx          context.Context
+	cancel       context.CancelFunc
+	done         chan struct{} // closed when the loop has ended
+	calls        sync.WaitGroup
+	lastID       atomic.Uint64
+	open         atomic.Int64
+	refusedConns atomic.Uint64
 
 	snapshot atomic.Pointer[model.Snapshot]
 	local    atomic.Pointer[request.Local]
@@ -95,10 +99,12 @@
 	run   func()
 }
 
-// Stats are current sizes.
+// Stats are current sizes and counters.
 type Stats struct {
-	Connections int
-	Waiting     int // callers and joining agents that wait for an answer
+	request.Stats
+	Connections        int
+	RefusedConnections uint64 // closed at once because MaxConnections were open
+	Waiting            int    // callers and joining agents that wait for an answer
 }
 
 // New starts a gate.
@@ -123,11 +129,11 @@
 	}
 	g.snapshot.Store(model.NewSnapshot())
 	g.local.Store(&request.Local{})
-	g.stats.Store(&Stats{})
 	g.server = &http.Server{
 		Handler:           http.HandlerFunc(g.serveCaller),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ConnContext:       withConn,
+		ErrorLog:          cfg.ErrorLog,
 	}
 	go g.loop()
 	go g.pollPeers()
@@ -139,6 +145,7 @@
 func (g *Gate) Serve(svc *model.Service, key model.FlowKey, conn net.Conn) {
 	if n := g.open.Add(1); g.cfg.MaxConnections > 0 && n > int64(g.cfg.MaxConnections) {
 		g.open.Add(-1)
+		g.refusedConns.Add(1)
 		_ = conn.Close()
 		return
 	}
@@ -168,31 +175,42 @@
 	g.post(input{event: l})
 }
 
-// Remaining lists the callers whose requests have not ended.
-func (g *Gate) Remaining() []string {
-	out := make(chan []string, 1)
-	ok := g.post(input{run: func() {
-		var list []string
-		for _, c := range g.machine.Remaining() {
-			list = append(list, c.String())
-		}
-		out <- list
-	}})
-	if !ok {
-		return nil
+// ask runs f in the loop goroutine and returns its result, or false when the gate has ended.
+func ask[T any](g *Gate, f func(*request.Machine) T) (T, bool) {
+	out := make(chan T, 1)
+	var none T
+	if !g.post(input{run: func() { out <- f(g.machine) }}) {
+		return none, false
 	}
 	select {
-	case list := <-out:
-		return list
+	case v := <-out:
+		return v, true
 	case <-g.done:
-		return nil
+		return none, false
+	}
+}
+
+// Remaining lists the callers whose requests have not ended.
+func (g *Gate) Remaining() []string {
+	list, _ := ask(g, func(m *request.Machine) []string { return callerStrings(m.Remaining()) })
+	return list
+}
+
+func callerStrings(callers []netip.AddrPort) []string {
+	list := make([]string, 0, len(callers))
+	for _, c := range callers {
+		list = append(list, c.String())
 	}
+	return list
 }
 
-// Stats returns current sizes.
+// Stats returns current sizes and counters for metrics.
 func (g *Gate) Stats() Stats {
-	s := *g.stats.Load()
+	s, _ := ask(g, func(m *request.Machine) Stats {
+		return Stats{Stats: m.Stats(), Waiting: len(g.waits)}
+	})
 	s.Connections = int(g.open.Load())
+	s.RefusedConnections = g.refusedConns.Load()
 	return s
 }
 
@@ -255,7 +273,6 @@
 		for i := range actions {
 			g.execute(&actions[i])
 		}
-		g.stats.Store(&Stats{Waiting: len(g.waits)})
 	}
 }
 
@@ -324,11 +341,7 @@
 	if g.cfg.OnDrainOverdue == nil {
 		return
 	}
-	list := make([]string, 0, len(a.Callers))
-	for _, c := range a.Callers {
-		list = append(list, c.String())
-	}
-	g.cfg.OnDrainOverdue(list)
+	g.cfg.OnDrainOverdue(callerStrings(a.Callers))
 }
 
 // start runs f for a request in its own goroutine with a context that ends at the deadline or by ActionCancel. The
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/account"
@@ -102,11 +103,15 @@
 	return binding.Digest(h.Sum(nil)[:binding.HashSize])
 }
 
-// readHeaders checks key and deadline.
+// readHeaders checks target, key and deadline. A request that the transport could not send must not count as a failure of
+// the upstream.
 func (c *call) readHeaders() result.Code {
+	if _, err := url.ParseRequestURI(c.uri); err != nil || c.method == http.MethodConnect {
+		return result.RequestMalformed
+	}
 	if v := c.header.Get(HeaderDeadline); v != "" {
 		t, err := time.Parse(time.RFC3339Nano, v)
-		if err != nil {
+		if err != nil || time.Until(t) > binding.MaxDeadline {
 			return result.RequestMalformed
 		}
 		c.deadline = t
--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -63,22 +64,11 @@
 
 // handsOver tells whether the host drains or an upstream of it is ejected.
 func (g *Gate) handsOver() bool {
-	out := make(chan bool, 1)
-	g.post(input{run: func() {
-		for _, svc := range g.services() {
-			if !g.machine.TakesWork(svc.ID) {
-				out <- true
-				return
-			}
-		}
-		out <- false
-	}})
-	select {
-	case b := <-out:
-		return b
-	case <-g.done:
-		return false
-	}
+	services := g.services()
+	handsOver, _ := ask(g, func(m *request.Machine) bool {
+		return slices.ContainsFunc(services, func(svc *model.Service) bool { return !m.TakesWork(svc.ID) })
+	})
+	return handsOver
 }
 
 // refreshPeers asks the other agents of each service for their state. One that does not answer takes no work.
@@ -261,27 +251,24 @@
 }
 
 // Status tells whether this agent takes work of a service.
-func (s *Server) Status(ctx context.Context, r *gatepb.StatusRequest) (*gatepb.StatusResponse, error) {
-	g := s.gate
+func (s *Server) Status(_ context.Context, r *gatepb.StatusRequest) (*gatepb.StatusResponse, error) {
 	id := model.ServiceID(r.Service)
-	out := make(chan *gatepb.StatusResponse, 1)
-	g.post(input{run: func() {
-		resp := &gatepb.StatusResponse{TakesWork: g.machine.TakesWork(id), Queued: uint32(g.machine.Queued(id))}
-		resp.MeanUs = g.machine.Mean(id).Microseconds()
-		if since, ejected := g.machine.Ejected(id); ejected {
+	resp, ok := ask(s.gate, func(m *request.Machine) *gatepb.StatusResponse {
+		resp := &gatepb.StatusResponse{
+			TakesWork: m.TakesWork(id),
+			Queued:    uint32(m.Queued(id)),
+			MeanUs:    m.Mean(id).Microseconds(),
+		}
+		if since, ejected := m.Ejected(id); ejected {
 			resp.Ejected = true
 			resp.EjectedUnixMs = since.UnixMilli()
 		}
-		out <- resp
-	}})
-	select {
-	case resp := <-out:
-		return resp, nil
-	case <-ctx.Done():
-		return nil, twirp.NewError(twirp.Canceled, "the caller left")
-	case <-g.done:
+		return resp
+	})
+	if !ok {
 		return nil, twirp.NewError(twirp.Unavailable, "the gate has ended")
 	}
+	return resp, nil
 }
 
 // wait posts an event and waits for its answer. A twirp error means that the outcome is not known.
--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -235,6 +235,9 @@
 	g.Expect(c.send(context.Background(), "host-0", "POST", "k\xff", "x").code).To(Equal("3011"))
 	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x", gate.HeaderDeadline, "soon").code).To(Equal("3011"))
 	g.Expect(c.send(context.Background(), "host-0", "POST", strings.Repeat("k", 300), "x").code).To(Equal("3011"))
+	far := time.Now().Add(25 * time.Hour).Format(time.RFC3339Nano)
+	g.Expect(c.send(context.Background(), "host-0", "GET", "", "x", gate.HeaderDeadline, far).code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "CONNECT", "", "x").code).To(Equal("3011"))
 	sums := c.node("host-0").account.Sums(serviceID, 2)
-	g.Expect(sums.Refused).To(Equal(uint64(4)))
+	g.Expect(sums.Refused).To(Equal(uint64(6)))
 }
--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -213,10 +213,12 @@
 
 func (b *budget) earn() { b.tokens = min(b.tokens+b.ratio, b.burst) }
 
-func (b *budget) spend() bool {
-	if b.tokens < 1 {
+// spend takes a re-send from the budget.
+func (m *Machine) spend() bool {
+	if m.budget.tokens < 1 {
 		return false
 	}
-	b.tokens--
+	m.budget.tokens--
+	m.counts.Resent++
 	return true
 }
--- a/internal/request/elsewhere.go
+++ b/internal/request/elsewhere.go
@@ -29,6 +29,7 @@
 		m.pause(w)
 		return
 	}
+	m.counts.Joined++
 	w.owner = a.Owner
 	w.ownerFinished = a.Outcome == binding.Finished
 	w.ownerCode = a.Code
@@ -162,6 +163,7 @@
 	peer.Queued++
 	m.endProbe(w)
 	w.tried = append(w.tried, peer.Host)
+	m.counts.HandedOver++
 	m.setState(w, stateHanding)
 	m.emit(Action{Kind: ActionHandOver, Run: w.ID, To: peer.Host, At: w.limitAt})
 	return true
@@ -205,7 +207,7 @@
 		m.begin(w)
 		return
 	}
-	if m.budget.spend() {
+	if m.spend() {
 		if m.handOver(w) {
 			return
 		}
--- a/internal/request/health.go
+++ b/internal/request/health.go
@@ -122,6 +122,7 @@
 }
 
 func (h *health) eject(m *Machine, since time.Time) {
+	m.counts.Ejections++
 	h.backoff = min(max(2*h.backoff, m.cfg.EjectFor), m.cfg.EjectForMax)
 	h.since = since
 	h.until = m.now.Add(h.backoff)
--- a/internal/request/machine.go
+++ b/internal/request/machine.go
@@ -34,6 +34,7 @@
 	ringPos  int
 	budget   budget
 	retained retained
+	counts   Counts
 	out      []Action
 }
 
@@ -159,6 +160,7 @@
 		return true
 	}
 	w.cancelAt = time.Time{}
+	m.counts.Joined++
 	m.wait(w, waiter{id: e.ID, caller: e.Caller})
 	return true
 }
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -18,6 +18,7 @@
 	w.started = m.now
 	w.stopped, w.late = false, false
 	m.running++
+	m.counts.Dispatched++
 	m.service(w.Service).running++
 	m.emit(Action{Kind: ActionDispatch, Run: w.ID, Deadline: w.limitAt})
 }
@@ -60,7 +61,7 @@
 		m.refuse(w, code)
 		return
 	}
-	if !m.budget.spend() {
+	if !m.spend() {
 		m.refuse(w, result.RequestRetryBudgetSpent)
 		return
 	}
@@ -83,7 +84,7 @@
 func (m *Machine) broken(w *work, code result.Code, streamedTo ID) {
 	w.maybeRan = true
 	again := w.Idempotent && !w.keyed() && !w.stopped && streamedTo == 0 && len(w.waiters) > 0 && !w.expired(m.now)
-	if !again || !m.budget.spend() {
+	if !again || !m.spend() {
 		m.finish(w, code, nil, 0)
 		return
 	}
--- /dev/null
+++ b/internal/request/stats.go
@@ -0,0 +1,45 @@
+package request
+
+// Counts are sums since the start of the machine.
+type Counts struct {
+	Dispatched uint64 // runs on the local upstream
+	HandedOver uint64 // offers to other agents
+	Resent     uint64 // sends paid from the retry budget
+	Joined     uint64 // requests that waited for the run of another send
+	Ejections  uint64 // ejections of a local upstream, failed probes included
+}
+
+// Stats are the current sizes of a machine.
+type Stats struct {
+	Counts
+	Running       int
+	Queued        int
+	Binding       int
+	Elsewhere     int // joining or handed over
+	Retained      int // ended works
+	RetainedBytes int
+	Ejected       int // services whose local upstream is ejected
+}
+
+// Stats returns the current sizes.
+func (m *Machine) Stats() Stats {
+	s := Stats{
+		Counts:        m.counts,
+		Running:       m.running,
+		Binding:       m.binding,
+		Retained:      len(m.ended),
+		RetainedBytes: m.retained.bytes,
+	}
+	for _, svc := range m.ring {
+		s.Queued += len(svc.queue)
+		if _, ejected := m.Ejected(svc.id); ejected {
+			s.Ejected++
+		}
+	}
+	for _, w := range m.works {
+		if w.state == stateJoining || w.state == stateHanding {
+			s.Elsewhere++
+		}
+	}
+	return s
+}
