A join frees late binds while the owner hands over or joins elsewhere

Cause: when a draining owner with a late bind handed the same request over, the other agent found the key owned by it and gave up after 10 s with an unknown outcome. Change: an owner without a bound attempt of the key releases every attempt up to now, in each such state.

--- a/internal/request/elsewhere.go
+++ b/internal/request/elsewhere.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/binding"
+	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
 )
 
@@ -101,18 +102,10 @@
 
 // joinAsked answers another agent that found this incarnation as the owner of a key.
 func (m *Machine) joinAsked(e JoinAsked) {
-	k := workKey{e.Service, e.Key}
-	w := m.keys[k]
-	if w == nil {
-		// No attempt up to now is or will be dispatched for this key: either it never was, or its end is recorded
-		// and the release has no effect. This frees a bind that arrived after its release.
+	w := m.keys[workKey{e.Service, e.Key}]
+	if w == nil || w.unbound() {
 		m.emit(Action{Kind: ActionAnswer, ID: e.ID})
-		m.emit(Action{Kind: ActionRelease, Ref: binding.Ref{
-			Service: e.Service,
-			Key:     e.Key,
-			Owner:   m.cfg.Self,
-			Attempt: m.attempt,
-		}})
+		m.releaseAll(e.Service, e.Key)
 		return
 	}
 	if w.Digest != e.Digest {
@@ -120,15 +113,33 @@
 		m.emit(Action{Kind: ActionAnswer, ID: e.ID})
 		return
 	}
-	switch w.state {
-	case stateFinishing, stateRetained:
+	if w.state == stateFinishing || w.state == stateRetained {
 		m.emit(Action{Kind: ActionAnswer, ID: e.ID, Code: w.endCode(), Answer: w.answer, Held: true})
-	case stateBinding, stateQueued, stateRunning:
-		w.cancelAt = time.Time{}
-		m.wait(w, waiter{id: e.ID, remote: true})
-	default:
-		m.emit(Action{Kind: ActionAnswer, ID: e.ID})
+		return
+	}
+	w.cancelAt = time.Time{}
+	m.wait(w, waiter{id: e.ID, remote: true})
+}
+
+// unbound tells whether no attempt of the work is or will be bound without a new bind.
+func (w *work) unbound() bool {
+	switch w.state {
+	case stateHanding, stateJoining, statePausing, stateReleasing:
+		return true
 	}
+	return false
+}
+
+// releaseAll frees a key that the log has bound to this incarnation although no work of it holds the key. No attempt up
+// to now is or will be dispatched: either it never was, or its end is recorded and the release has no effect. The cause
+// is a bind that arrived after its release.
+func (m *Machine) releaseAll(service model.ServiceID, key string) {
+	m.emit(Action{Kind: ActionRelease, Ref: binding.Ref{
+		Service: service,
+		Key:     key,
+		Owner:   m.cfg.Self,
+		Attempt: m.attempt,
+	}})
 }
 
 // canHandOver tells whether another agent can be offered the work.
