--- a/internal/binding/binding_test.go
+++ b/internal/binding/binding_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/rpc/bindpb"
+	"github.com/plantainseam/plantainseam/standin/bindlog"
 )
 
 var (
@@ -27,38 +27,19 @@
 	b1    = model.HostRef{Host: "b", Incarnation: 1}
 )
 
-// proposer is a Proposer over a Table. fail chooses what happens to the n-th proposal.
-type proposer struct {
-	mu     sync.Mutex
-	table  *binding.Table
-	now    time.Time
-	n      int
-	fail   func(n int) (before, after error)
-	leader string
-}
+// clock is the log's time in a test.
+type clock struct{ now time.Time }
 
-func (p *proposer) Propose(_ context.Context, command []byte) ([]byte, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.n++
-	var before, after error
-	if p.fail != nil {
-		before, after = p.fail(p.n)
-	}
-	if before != nil {
-		return nil, before
-	}
-	out := p.table.Apply(uint64(p.n), p.now, command)
-	return out, after
+func newLog(limit int) (*bindlog.Log, *clock) {
+	c := &clock{now: epoch}
+	return bindlog.New(binding.NewTable(limit), func() time.Time { return c.now }), c
 }
 
-func (p *proposer) Leader() string { return p.leader }
-
-// serve returns a client over twirp to one server per proposer, in order.
-func serve(t *testing.T, proposers ...*proposer) (*binding.Client, []string) {
+// serve returns a client over twirp to one server per log, in order.
+func serve(t *testing.T, logs ...*bindlog.Log) (*binding.Client, []string) {
 	var addresses []string
-	for _, p := range proposers {
-		s := httptest.NewServer(bindpb.NewBindingsServer(binding.NewServer(p)))
+	for _, l := range logs {
+		s := httptest.NewServer(bindpb.NewBindingsServer(binding.NewServer(l)))
 		t.Cleanup(s.Close)
 		addresses = append(addresses, strings.TrimPrefix(s.URL, "http://"))
 	}
@@ -132,11 +113,11 @@
 		{"key without a deadline expires early", []step{bindStep(a1, 1, "x", binding.Bound), {at: 24*time.Hour - time.Second, bind: ptr(request(b1, 1, "x", 0)), want: binding.Owned}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p := &proposer{table: binding.NewTable(0)}
-			client, _ := serve(t, p)
+			l, clock := newLog(0)
+			client, _ := serve(t, l)
 			for i, s := range c.steps {
-				p.now = epoch.Add(s.at)
-				s.run(NewWithT(t), p, client, fmt.Sprint("step ", i))
+				clock.now = epoch.Add(s.at)
+				s.run(NewWithT(t), l, client, fmt.Sprint("step ", i))
 			}
 		})
 	}
@@ -144,7 +125,7 @@
 
 func ptr[T any](v T) *T { return &v }
 
-func (s step) run(g *WithT, p *proposer, b binding.Binder, name string) {
+func (s step) run(g *WithT, l *bindlog.Log, b binding.Binder, name string) {
 	ctx := context.Background()
 	switch {
 	case s.bind != nil:
@@ -159,28 +140,52 @@
 	case s.release != nil:
 		g.Expect(b.Release(ctx, *s.release)).To(Succeed())
 	case s.lost != nil:
-		p.table.Apply(0, p.now, binding.LostCommand(s.lost.Host, s.lost.Incarnation))
+		_, err := l.Propose(ctx, binding.LostCommand(s.lost.Host, s.lost.Incarnation))
+		g.Expect(err).NotTo(HaveOccurred())
 	case s.restore:
-		first, err := p.table.Snapshot()
+		g.Expect(l.Restart()).To(Succeed())
+	}
+}
+
+// Guards against replicas that differ after one of them was restored from a snapshot.
+func TestSnapshotIsStable(t *testing.T) {
+	g := NewWithT(t)
+	first, restored := binding.NewTable(0), binding.NewTable(0)
+	for i := range 50 {
+		first.Apply(0, epoch, bindCommand(i))
+	}
+	first.Apply(0, epoch, binding.LostCommand("a", 1))
+	for range 2 {
+		snapshot, err := first.Snapshot()
 		g.Expect(err).NotTo(HaveOccurred())
-		restored := binding.NewTable(0)
-		g.Expect(restored.Restore(first)).To(Succeed())
-		second, err := restored.Snapshot()
+		g.Expect(restored.Restore(snapshot)).To(Succeed())
+		again, err := restored.Snapshot()
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(second).To(Equal(first))
-		p.table = restored
+		g.Expect(again).To(Equal(snapshot))
+		for _, table := range []*binding.Table{first, restored} {
+			table.Apply(0, epoch.Add(70*time.Second), bindCommand(60))
+		}
 	}
 }
 
+func bindCommand(i int) []byte {
+	d := digest("x")
+	command, _ := proto.Marshal(&bindpb.Command{Kind: &bindpb.Command_Bind{Bind: &bindpb.BindRequest{
+		Service: 7, Key: fmt.Sprint("k", i), Digest: d[:], Host: []string{"a", "b", "c"}[i%3], Incarnation: 1,
+		Attempt: 1, DeadlineUnixMs: epoch.Add(time.Duration(i) * time.Second).UnixMilli(),
+	}}})
+	return command
+}
+
 // Guards against a table that grows without bound, evicts a live binding, or stays full after expiry.
 func TestTableIsBounded(t *testing.T) {
 	g := NewWithT(t)
-	p := &proposer{table: binding.NewTable(10), now: epoch}
-	client, _ := serve(t, p)
+	l, clock := newLog(10)
+	client, _ := serve(t, l)
 	bind := func(n int) binding.Answer {
 		r := request(a1, uint64(n), "x", 5*time.Second)
 		r.Key = fmt.Sprint("key-", n)
-		r.Deadline = p.now.Add(5 * time.Second)
+		r.Deadline = clock.now.Add(5 * time.Second)
 		answer, err := client.Bind(context.Background(), r)
 		g.Expect(err).NotTo(HaveOccurred())
 		return answer
@@ -191,10 +196,10 @@
 	full := bind(10)
 	g.Expect(full.Outcome).To(Equal(binding.Full))
 	g.Expect(full.Code).To(Equal(result.RequestBindingsFull))
-	g.Expect(p.table.Stats()).To(HaveField("Records", 10))
-	p.now = p.now.Add(66 * time.Second)
+	g.Expect(l.Stats()).To(HaveField("Records", 10))
+	clock.now = clock.now.Add(66 * time.Second)
 	g.Expect(bind(11).Outcome).To(Equal(binding.Bound))
-	g.Expect(p.table.Stats()).To(And(HaveField("Records", 1), HaveField("Expired", uint64(10))))
+	g.Expect(l.Stats()).To(And(HaveField("Records", 1), HaveField("Expired", uint64(10))))
 }
 
 // Guards against a Binder that gives up, or binds twice, when answers are lost, leaders change or a VM is silent.
@@ -210,21 +215,28 @@
 	for name, others := range map[string]func(int) (error, error){"hint": notLeader, "no hint": broken} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			leader := &proposer{table: binding.NewTable(0), now: epoch, fail: lost}
-			one, two := &proposer{fail: others}, &proposer{fail: others}
+			leader, _ := newLog(0)
+			one, _ := newLog(0)
+			two, _ := newLog(0)
+			leader.FailWith(lost)
+			one.FailWith(others)
+			two.FailWith(others)
 			client, addresses := serve(t, one, two, leader)
 			if name == "hint" {
-				one.leader, two.leader = addresses[2], addresses[2]
+				one.SetLeader(addresses[2])
+				two.SetLeader(addresses[2])
 			}
 			answer, err := client.Bind(context.Background(), request(a1, 1, "x", 0))
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(answer.Outcome).To(Equal(binding.Bound))
-			g.Expect(leader.table.Stats().Bound).To(Equal(uint64(1)))
+			g.Expect(leader.Stats().Bound).To(Equal(uint64(1)))
 			g.Expect(client.Finish(context.Background(), *refOf(a1, 1), result.OK)).To(Succeed())
 		})
 	}
 	g := NewWithT(t)
-	client, _ := serve(t, &proposer{fail: broken})
+	l, _ := newLog(0)
+	l.FailWith(broken)
+	client, _ := serve(t, l)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_, err := client.Bind(ctx, request(a1, 1, "x", 0))
--- a/internal/gate/faults_bench_test.go
+++ b/internal/gate/faults_bench_test.go
@@ -13,6 +13,7 @@
 	"github.com/plantainseam/plantainseam/internal/gate"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/request"
+	"github.com/plantainseam/plantainseam/standin/caller"
 	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
@@ -60,10 +61,10 @@
 }
 
 // drive is one caller that sends n requests and retries those without a definite outcome.
-func drive(c *cluster, v *verdict, caller, n int, seed uint64) {
-	random := rand.New(rand.NewPCG(seed, uint64(caller)))
+func drive(c *cluster, v *verdict, number, n int, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, uint64(number)))
 	for i := range n {
-		body := fmt.Sprintf("match-%d-%d", caller, i)
+		body := fmt.Sprintf("match-%d-%d", number, i)
 		method, key := "POST", body
 		if random.IntN(3) == 0 {
 			method, key = "GET", ""
@@ -95,32 +96,32 @@
 }
 
 // judge compares one reply with the runs and tells whether the outcome is definite.
-func judge(c *cluster, v *verdict, r reply, method, body string) bool {
+func judge(c *cluster, v *verdict, r caller.Reply, method, body string) bool {
 	runs := c.runs(body)
 	v.mu.Lock()
-	v.codes[r.code]++
+	v.codes[r.Code]++
 	v.mu.Unlock()
 	switch {
-	case r.err != nil:
+	case r.Err != nil:
 		return false
-	case r.code == "0":
-		whole := r.body == "ran "+body || r.body == strings.Repeat("x", 200<<10)
+	case r.Code == "0":
+		whole := r.Body == "ran "+body || r.Body == strings.Repeat("x", 200<<10)
 		if !whole {
-			v.note(&v.cut, "%s answered with %d bytes", body, len(r.body))
+			v.note(&v.cut, "%s answered with %d bytes", body, len(r.Body))
 		}
 		if runs == 0 {
 			v.note(&v.lost, "%s %s was answered and did not run", method, body)
 		}
 		v.note(&v.answered, "")
 		return true
-	case strings.HasPrefix(r.code, "30"):
+	case strings.HasPrefix(r.Code, "30"):
 		if runs > 0 {
-			v.note(&v.falseNotRun, "%s %s was told %s and ran", method, body, r.code)
+			v.note(&v.falseNotRun, "%s %s was told %s and ran", method, body, r.Code)
 		}
 		v.note(&v.refused, "")
 		return true
-	case r.code == "":
-		v.note(&v.lost, "%s %s got status %d without a result code", method, body, r.status)
+	case r.Code == "":
+		v.note(&v.lost, "%s %s got status %d without a result code", method, body, r.Status)
 	}
 	return false
 }
@@ -129,7 +130,7 @@
 	const callers, each, seed = 24, 60, 20261204
 	for range b.N {
 		c := newCluster(3, seed, faultyUpstream(seed), nil)
-		c.log.set(func(l *log) { l.lose = 0.1 })
+		c.log.Lose(0.1, seed)
 		c.peers.SetShare(0.1)
 		v := &verdict{codes: map[string]int{}}
 		stop := make(chan struct{})
@@ -173,9 +174,9 @@
 		host := model.HostID(fmt.Sprint("host-", random.IntN(len(c.service.Members))))
 		switch random.IntN(4) {
 		case 0:
-			c.log.set(func(l *log) { l.down = true })
+			c.log.FailWith(noQuorum)
 			time.Sleep(200 * time.Millisecond)
-			c.log.set(func(l *log) { l.down = false })
+			c.log.Lose(0.1, seed)
 		case 1:
 			c.node(host).gate.SetLocal(request.Local{Draining: true})
 			time.Sleep(200 * time.Millisecond)
--- a/internal/gate/gate_bench_test.go
+++ b/internal/gate/gate_bench_test.go
@@ -18,6 +18,7 @@
 	"github.com/plantainseam/plantainseam/internal/gate"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/rpc/bindpb"
+	"github.com/plantainseam/plantainseam/standin/caller"
 )
 
 // sequential sends n requests one after the other over one connection and returns the mean time of one.
@@ -95,7 +96,10 @@
 			return conn
 		}
 		through := func() net.Conn {
-			client, server := tcpPair()
+			client, server, err := caller.Pair()
+			if err != nil {
+				b.Fatal(err)
+			}
 			key := model.FlowKey{Service: serviceID, Caller: netip.MustParseAddrPort(client.LocalAddr().String())}
 			c.nodes["host-0"].gate.Serve(c.service, key, server)
 			return client
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/gate"
+	"github.com/plantainseam/plantainseam/standin/caller"
 	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
@@ -18,18 +19,18 @@
 	c := withCluster(t, 2, plain)
 	for _, host := range []string{"host-0", "host-0", "host-1", "host-1"} {
 		r := c.send(context.Background(), "host-0", "POST", "k1", "match-1")
-		g.Expect(r).To(Equal(reply{200, "0", "ran match-1", nil}), host)
+		g.Expect(r).To(Equal(caller.Reply{Status: 200, Code: "0", Body: "ran match-1"}), host)
 	}
 	r := c.send(context.Background(), "host-1", "POST", "k1", "match-1")
-	g.Expect(r.body).To(Equal("ran match-1"))
+	g.Expect(r.Body).To(Equal("ran match-1"))
 	g.Expect(c.runs("match-1")).To(Equal(1))
 	r = c.send(context.Background(), "host-1", "POST", "k1", "other")
-	g.Expect(r.code).To(Equal("3101"))
+	g.Expect(r.Code).To(Equal("3101"))
 	g.Expect(c.runs("other")).To(BeZero())
 	r = c.send(context.Background(), "host-1", "POST", "", "unkeyed")
-	g.Expect(r.code).To(Equal("3010"))
+	g.Expect(r.Code).To(Equal("3010"))
 	r = c.send(context.Background(), "host-1", "POST", "k2", "late", gate.HeaderDeadline, time.Now().Add(-time.Second).Format(time.RFC3339Nano))
-	g.Expect(r.code).To(Equal("3003"))
+	g.Expect(r.Code).To(Equal("3003"))
 	for _, n := range c.nodes {
 		g.Expect(n.account.Check()).To(BeEmpty())
 	}
@@ -42,7 +43,7 @@
 			g := NewWithT(t)
 			c := withCluster(t, 1, func(*http.Request, string) upstream.Behaviour { return upstream.Behaviour{Cut: true, Size: size} })
 			r := c.send(context.Background(), "host-0", method, "k", "scan")
-			g.Expect(r.err != nil || r.code == "3203").To(BeTrue(), "%d %s %v", size, method, r.status)
+			g.Expect(r.Err != nil || r.Code == "3203").To(BeTrue(), "%d %s %v", size, method, r.Status)
 		}
 	}
 }
@@ -53,10 +54,10 @@
 	c := withCluster(t, 1, func(*http.Request, string) upstream.Behaviour { return upstream.Behaviour{Size: 5 << 20} })
 	for _, method := range []string{"GET", "POST"} {
 		r := c.send(context.Background(), "host-0", method, "k", "scan")
-		g.Expect(r.err).NotTo(HaveOccurred())
-		g.Expect(r.body).To(HaveLen(5 << 20))
+		g.Expect(r.Err).NotTo(HaveOccurred())
+		g.Expect(r.Body).To(HaveLen(5 << 20))
 	}
 	r := c.send(context.Background(), "host-0", "POST", "k", "scan")
-	g.Expect(r.code).To(Equal("3202"))
+	g.Expect(r.Code).To(Equal("3202"))
 	g.Expect(c.runs("scan")).To(Equal(2))
 }
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -1,12 +1,8 @@
 package gate_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -23,56 +19,14 @@
 	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/rpc/bindpb"
 	"github.com/plantainseam/plantainseam/rpc/gatepb"
+	"github.com/plantainseam/plantainseam/standin/bindlog"
+	"github.com/plantainseam/plantainseam/standin/caller"
 	"github.com/plantainseam/plantainseam/standin/lossy"
 	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
 const serviceID model.ServiceID = 7
 
-// log is a Proposer over one Table that loses commands before and answers after they are applied.
-type log struct {
-	mu     sync.Mutex
-	table  *binding.Table
-	index  uint64
-	random *rand.Rand
-	lose   float64 // share of proposals that fail
-	down   bool
-	leader string
-}
-
-func newLog(seed uint64) *log {
-	return &log{table: binding.NewTable(0), random: rand.New(rand.NewPCG(seed, 1))}
-}
-
-func (l *log) Propose(_ context.Context, command []byte) ([]byte, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.leader != "" {
-		return nil, result.Errorf(result.NotLeader, "leader is %s", l.leader)
-	}
-	if l.down || l.random.Float64() < l.lose/2 {
-		return nil, result.Errorf(result.ProposalLost, "lost before it was applied")
-	}
-	l.index++
-	out := l.table.Apply(l.index, time.Now(), command)
-	if l.random.Float64() < l.lose/2 {
-		return nil, result.Errorf(result.ProposalLost, "lost after it was applied")
-	}
-	return out, nil
-}
-
-func (l *log) Leader() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.leader
-}
-
-func (l *log) set(f func(*log)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	f(l)
-}
-
 // node is one gate with its upstream, its RPC server and its account.
 type node struct {
 	gate     *gate.Gate
@@ -86,7 +40,7 @@
 type cluster struct {
 	mu      sync.Mutex
 	nodes   map[model.HostID]*node
-	log     *log
+	log     *bindlog.Log
 	control *httptest.Server
 	client  *http.Client
 	peers   *lossy.Transport // between gates
@@ -97,7 +51,7 @@
 func newCluster(hosts int, seed uint64, behave func(*http.Request, string) upstream.Behaviour, config func(*request.Config)) *cluster {
 	c := &cluster{
 		nodes:   map[model.HostID]*node{},
-		log:     newLog(seed),
+		log:     bindlog.New(binding.NewTable(0), time.Now),
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		service: &model.Service{ID: serviceID, Name: "sample-book", Kind: model.KindRequest, QueueLimit: 64},
 		config:  config,
@@ -183,63 +137,20 @@
 	return n
 }
 
-// reply is what a caller saw. err is set when the answer did not arrive whole.
-type reply struct {
-	status int
-	code   string
-	body   string
-	err    error
-}
-
 // send makes one request on a connection of its own.
-func (c *cluster) send(ctx context.Context, host model.HostID, method, key, body string, header ...string) reply {
-	client, server := tcpPair()
-	n := c.node(host)
-	caller := netip.MustParseAddrPort(client.LocalAddr().String())
-	n.gate.Serve(c.service, model.FlowKey{Service: serviceID, Caller: caller}, server)
-	stop := context.AfterFunc(ctx, func() { _ = client.Close() })
-	defer stop()
-	defer client.Close()
-	req, err := http.NewRequestWithContext(ctx, method, "http://service/match", strings.NewReader(body))
+func (c *cluster) send(ctx context.Context, host model.HostID, method, key, body string, header ...string) caller.Reply {
+	client, server, err := caller.Pair()
 	if err != nil {
-		return reply{err: err}
-	}
-	if key != "" {
-		req.Header.Set(gate.HeaderKey, key)
+		return caller.Reply{Err: err}
 	}
-	for i := 0; i+1 < len(header); i += 2 {
-		req.Header.Set(header[i], header[i+1])
-	}
-	if err := req.Write(client); err != nil {
-		return reply{err: err}
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(client), req)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	code, _, _ := strings.Cut(resp.Header.Get(gate.HeaderResult), " ")
-	return reply{resp.StatusCode, code, string(data), err}
+	from := netip.MustParseAddrPort(client.LocalAddr().String())
+	c.node(host).gate.Serve(c.service, model.FlowKey{Service: serviceID, Caller: from}, server)
+	return caller.Send(ctx, client, method, body, append(header, gate.HeaderKey, key)...)
 }
 
-func tcpPair() (client, server net.Conn) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	defer l.Close()
-	accepted := make(chan net.Conn, 1)
-	go func() {
-		conn, _ := l.Accept()
-		accepted <- conn
-	}()
-	client, err = net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		panic(err)
-	}
-	return client, <-accepted
-}
+// noQuorum and works are the states of a log without and with a quorum.
+func noQuorum(int) (before, after error) { return result.Errorf(result.NoQuorum, "no quorum"), nil }
+func works(int) (before, after error)    { return nil, nil }
 
 func plain(*http.Request, string) upstream.Behaviour { return upstream.Behaviour{} }
 
--- a/internal/gate/overload_bench_test.go
+++ b/internal/gate/overload_bench_test.go
@@ -118,10 +118,10 @@
 			took := time.Since(start)
 			mu.Lock()
 			defer mu.Unlock()
-			codes[r.code]++
+			codes[r.Code]++
 			// Answers after the end of the load are not counted, as capacity is taken over its time only.
 			inTime := took <= overloadDeadline && time.Since(begin) <= overloadTime
-			if r.err == nil && r.code == "0" && inTime {
+			if r.Err == nil && r.Code == "0" && inTime {
 				good++
 				_ = times.RecordValue(took.Microseconds())
 			}
--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -19,6 +19,7 @@
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/request"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/standin/caller"
 	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
@@ -135,7 +136,7 @@
 			n := cl.start(cl.nodes["host-0"].ref, &upstream.Server{Server: &httptest.Server{URL: "http://" + addr}})
 			n.upstream = old
 			r := cl.send(context.Background(), "host-0", c.method, "k", "x")
-			g.Expect(r.code).To(Equal(c.code), fmt.Sprint(r))
+			g.Expect(r.Code).To(Equal(c.code), fmt.Sprint(r))
 		})
 	}
 }
@@ -147,13 +148,13 @@
 	c.node("host-0").gate.SetLocal(request.Local{Draining: true})
 	for _, method := range []string{"GET", "POST"} {
 		r := c.send(context.Background(), "host-0", method, "k"+method, method)
-		g.Expect(r).To(Equal(reply{200, "0", "ran " + method, nil}))
+		g.Expect(r).To(Equal(caller.Reply{Status: 200, Code: "0", Body: "ran " + method}))
 		g.Expect(c.node("host-0").upstream.Runs(method)).To(BeZero())
 	}
 	g.Expect(c.node("host-0").account.Sums(serviceID, 2).Answered).To(Equal(uint64(2)))
 	g.Expect(c.node("host-1").account.Sums(serviceID, 2).Issued).To(BeZero(), "counted once, where the caller is")
 	c.node("host-1").gate.SetLocal(request.Local{Draining: true})
-	g.Expect(c.send(context.Background(), "host-1", "POST", "k3", "x").code).To(Equal("3004"))
+	g.Expect(c.send(context.Background(), "host-1", "POST", "k3", "x").Code).To(Equal("3004"))
 }
 
 // Guards against a retry that runs again, or is told "not run", after the agent that ran the request was restarted.
@@ -161,14 +162,14 @@
 	g := NewWithT(t)
 	release := make(chan struct{})
 	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour { <-release; return upstream.Behaviour{} })
-	first := make(chan reply, 1)
+	first := make(chan caller.Reply, 1)
 	go func() { first <- c.send(context.Background(), "host-0", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
-	g.Eventually(func() uint64 { c.log.mu.Lock(); defer c.log.mu.Unlock(); return c.log.table.Stats().Bound }).Should(Equal(uint64(1)))
+	g.Eventually(func() uint64 { return c.log.Stats().Bound }).Should(Equal(uint64(1)))
 	c.restart("host-0")
-	g.Expect((<-first).err).To(HaveOccurred())
+	g.Expect((<-first).Err).To(HaveOccurred())
 	for _, host := range []model.HostID{"host-1", "host-0"} {
-		g.Expect(c.send(context.Background(), host, "POST", "k", "match").code).To(Equal("3201"))
+		g.Expect(c.send(context.Background(), host, "POST", "k", "match").Code).To(Equal("3201"))
 	}
 	close(release)
 }
@@ -178,16 +179,16 @@
 	g := NewWithT(t)
 	release := make(chan struct{})
 	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour { <-release; return upstream.Behaviour{} })
-	replies := make(chan reply, 2)
+	replies := make(chan caller.Reply, 2)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { replies <- c.send(ctx, "host-0", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
 	go func() { replies <- c.send(context.Background(), "host-1", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(2))
 	cancel()
-	g.Expect((<-replies).err).To(HaveOccurred())
+	g.Expect((<-replies).Err).To(HaveOccurred())
 	time.AfterFunc(3*time.Second, func() { close(release) })
-	g.Expect((<-replies).body).To(Equal("ran match"))
+	g.Expect((<-replies).Body).To(Equal("ran match"))
 	g.Expect(c.runs("match")).To(Equal(1))
 }
 
@@ -196,11 +197,11 @@
 	g := NewWithT(t)
 	c := newCluster(1, 1, plain, func(cfg *request.Config) { cfg.BindPatience = 50 * time.Millisecond })
 	t.Cleanup(c.close)
-	c.log.set(func(l *log) { l.down = true })
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").code).To(Equal("3102"))
-	g.Expect(c.send(context.Background(), "host-0", "GET", "", "y").code).To(Equal("0"))
-	c.log.set(func(l *log) { l.down = false })
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").code).To(Equal("0"))
+	c.log.FailWith(noQuorum)
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").Code).To(Equal("3102"))
+	g.Expect(c.send(context.Background(), "host-0", "GET", "", "y").Code).To(Equal("0"))
+	c.log.FailWith(works)
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").Code).To(Equal("0"))
 	g.Expect(c.runs("x")).To(Equal(1))
 }
 
@@ -218,11 +219,11 @@
 		g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
 		cancel()
 	}()
-	g.Expect(c.send(ctx, "host-0", "GET", "", "one").err).To(HaveOccurred())
+	g.Expect(c.send(ctx, "host-0", "GET", "", "one").Err).To(HaveOccurred())
 	g.Eventually(ended).Should(Receive(Equal("one")))
 	deadline := time.Now().Add(100 * time.Millisecond).Format(time.RFC3339Nano)
 	r := c.send(context.Background(), "host-0", "POST", "k", "two", gate.HeaderDeadline, deadline)
-	g.Expect(r.code).To(Equal(fmt.Sprint(int(result.RequestOutcomeUnknown))))
+	g.Expect(r.Code).To(Equal(fmt.Sprint(int(result.RequestOutcomeUnknown))))
 	g.Eventually(ended).Should(Receive(Equal("two" + deadline)))
 	g.Expect(c.node("host-0").account.Check()).To(BeEmpty())
 }
@@ -231,13 +232,13 @@
 func TestMalformedRequests(t *testing.T) {
 	g := NewWithT(t)
 	c := withCluster(t, 1, plain)
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k", strings.Repeat("x", 2<<20)).code).To(Equal("3013"))
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k\xff", "x").code).To(Equal("3011"))
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x", gate.HeaderDeadline, "soon").code).To(Equal("3011"))
-	g.Expect(c.send(context.Background(), "host-0", "POST", strings.Repeat("k", 300), "x").code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", strings.Repeat("x", 2<<20)).Code).To(Equal("3013"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k\xff", "x").Code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x", gate.HeaderDeadline, "soon").Code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", strings.Repeat("k", 300), "x").Code).To(Equal("3011"))
 	far := time.Now().Add(25 * time.Hour).Format(time.RFC3339Nano)
-	g.Expect(c.send(context.Background(), "host-0", "GET", "", "x", gate.HeaderDeadline, far).code).To(Equal("3011"))
-	g.Expect(c.send(context.Background(), "host-0", "CONNECT", "", "x").code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "GET", "", "x", gate.HeaderDeadline, far).Code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "CONNECT", "", "x").Code).To(Equal("3011"))
 	sums := c.node("host-0").account.Sums(serviceID, 2)
 	g.Expect(sums.Refused).To(Equal(uint64(6)))
 }
