A planned stop waits until the log has recorded every run

Cause: Shutdown ended the gate while finishes and releases were under way, which left those keys as unknown. Change: Shutdown waits for waiting callers, runs and unrecorded ends, or the end of its context. Conclusion: a planned stop leaves no unknown outcome when the log is reachable.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -39,6 +39,8 @@
 	releasePatience = 10 * time.Second
 	// finishPatience bounds one attempt to record the end of a run; the gate repeats it until it succeeds.
 	finishPatience = 5 * time.Second
+	// shutdownPoll spaces the checks whether a gate that shuts down has work left.
+	shutdownPoll = 20 * time.Millisecond
 	// checkInterval spaces the checks of the account equation.
 	checkInterval = time.Second
 )
@@ -214,11 +216,23 @@
 	return s
 }
 
-// Shutdown stops taking connections, waits until the requests in flight have ended or ctx is done, and ends the gate.
+// Shutdown stops taking connections, waits until the requests in flight have ended and the log has recorded them, or ctx
+// is done, and ends the gate. A run whose end is not recorded is "outcome unknown" to a retry.
 func (g *Gate) Shutdown(ctx context.Context) error {
-	err := g.server.Shutdown(ctx)
-	g.Close()
-	return err
+	defer g.Close()
+	if err := g.server.Shutdown(ctx); err != nil {
+		return err
+	}
+	for {
+		if s := g.Stats(); s.Waiting+s.Running+s.Binding+s.Unrecorded == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(shutdownPoll):
+		}
+	}
 }
 
 // Close ends the gate at once. Callers that still wait lose their connection.
--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -174,6 +174,23 @@
 	close(release)
 }
 
+// Guards against a planned stop that leaves a run behind whose end the log never learns.
+func TestShutdownRecordsRuns(t *testing.T) {
+	g := NewWithT(t)
+	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour {
+		return upstream.Behaviour{Delay: 200 * time.Millisecond}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		g.Eventually(func() int { return c.node("host-0").gate.Stats().Running }).Should(Equal(1))
+		cancel()
+	}()
+	g.Expect(c.send(ctx, "host-0", "POST", "k", "match").Err).To(HaveOccurred())
+	g.Expect(c.node("host-0").gate.Shutdown(context.Background())).To(Succeed())
+	g.Expect(c.runs("match")).To(Equal(1))
+	g.Expect(c.send(context.Background(), "host-1", "POST", "k", "match").Code).To(Equal("3202"))
+}
+
 // Guards against a join that gives up, or a run that is cancelled, while the owner's run takes longer than one poll.
 func TestJoinOfLongRun(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/request/stats.go
+++ b/internal/request/stats.go
@@ -17,6 +17,7 @@
 	Binding       int
 	Elsewhere     int // joining or handed over
 	Retained      int // ended works
+	Unrecorded    int // ended or refused works that the log has not recorded yet
 	RetainedBytes int
 	Ejected       int // services whose local upstream is ejected
 }
@@ -37,8 +38,16 @@
 		}
 	}
 	for _, w := range m.works {
-		if w.state == stateJoining || w.state == stateHanding {
+		switch w.state {
+		case stateJoining, stateHanding:
 			s.Elsewhere++
+		case stateReleasing:
+			s.Unrecorded++
+		}
+	}
+	for _, w := range m.ended {
+		if w.state == stateFinishing {
+			s.Unrecorded++
 		}
 	}
 	return s
