Offer work that a full host would refuse to a host with a shorter queue

Cause: long-lived connections pin callers to a host, which refused work while other hosts of the service were idle. Change: within the retry budget, such work is handed over to a host with less than half of the queue. Conclusion: a hot host refuses only when the others are busy too or the budget is spent.

--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -83,15 +83,30 @@
 	case m.local.Draining:
 		m.admitDraining(w)
 	case len(s.queue) >= s.queueLimit:
-		m.refuse(w, result.RequestQueueFull)
+		m.refuseOrMove(w, s, result.RequestQueueFull)
 	case m.tooLate(w, m.expectedWait(s)):
-		m.refuse(w, result.RequestDeadlineTooShort)
+		m.refuseOrMove(w, s, result.RequestDeadlineTooShort)
 	default:
 		m.setState(w, stateQueued)
 		s.queue = append(s.queue, w)
 	}
 }
 
+// refuseOrMove offers a work that this host cannot take to one with a much shorter queue, within the retry budget. When
+// all hosts are overloaded no queue is much shorter, so nothing moves.
+func (m *Machine) refuseOrMove(w *work, s *service, code result.Code) {
+	p := m.pickPeer(w)
+	if p == nil || 2*p.Queued >= len(s.queue) || !m.spend() {
+		m.refuse(w, code)
+		return
+	}
+	if w.bound {
+		m.releaseAndHandOver(w)
+		return
+	}
+	m.handOver(w)
+}
+
 // admitDraining hands a work over that was bound before the drain began.
 func (m *Machine) admitDraining(w *work) {
 	if !m.canHandOver(w) {
--- a/internal/request/admission_test.go
+++ b/internal/request/admission_test.go
@@ -229,6 +229,20 @@
 	g.Expect(b.running).To(ConsistOf(id), "no other host takes work")
 }
 
+// Guards against a full host that refuses what an idle one could run, and against moves between hosts that are all full.
+func TestFullHostMovesWork(t *testing.T) {
+	for queued, want := range map[int]int{0: 2, 3: 0} {
+		g := NewWithT(t)
+		b := newBench(func(c *request.Config) { c.RetryBurst, c.RetryRatio, c.QueueLimit = 2, 0, 5 })
+		b.peers(request.Peer{Host: "h1", TakesWork: true, Queued: queued})
+		for range 6 + 4 {
+			b.send(service, 0)
+		}
+		g.Expect(b.handed).To(HaveLen(want))
+		g.Expect(b.codes).To(HaveLen(4 - want))
+	}
+}
+
 // Guards against re-sends that multiply the load of a failing service.
 func TestRetryBudget(t *testing.T) {
 	g := NewWithT(t)
