A handed-over request is refused by a host that does not carry its service

Cause: Execute trusted the sender's service, so a sender with another configuration could reach a wrong upstream.

--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -62,6 +62,11 @@
 	return out
 }
 
+// carries tells whether this host carries a request service.
+func (g *Gate) carries(id model.ServiceID) bool {
+	return slices.ContainsFunc(g.services(), func(svc *model.Service) bool { return svc.ID == id })
+}
+
 // handsOver tells whether the host drains or an upstream of it is ejected.
 func (g *Gate) handsOver() bool {
 	services := g.services()
@@ -231,6 +236,10 @@
 // Execute runs a request for another agent.
 func (s *Server) Execute(ctx context.Context, r *gatepb.ExecuteRequest) (*gatepb.ExecuteResponse, error) {
 	g := s.gate
+	if !g.carries(model.ServiceID(r.Service)) {
+		// The sender has another configuration; the request must not reach the upstream of another service.
+		return &gatepb.ExecuteResponse{Code: uint32(result.RequestNoUpstream)}, nil
+	}
 	c := newCall(g.nextID(), model.ServiceID(r.Service))
 	defer close(c.gone)
 	c.caller, _ = netip.ParseAddrPort(r.Caller)
--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -19,6 +19,7 @@
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/request"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/gatepb"
 	"github.com/plantainseam/plantainseam/standin/caller"
 	"github.com/plantainseam/plantainseam/standin/upstream"
 )
@@ -153,6 +154,11 @@
 	}
 	g.Expect(c.node("host-0").account.Sums(serviceID, 2).Answered).To(Equal(uint64(2)))
 	g.Expect(c.node("host-1").account.Sums(serviceID, 2).Issued).To(BeZero(), "counted once, where the caller is")
+	other := &gatepb.ExecuteRequest{Service: 99, Method: "GET", Uri: []byte("/"), Body: []byte("stray")}
+	resp, err := c.node("host-1").gate.RPC().Execute(context.Background(), other)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Code).To(Equal(uint32(result.RequestNoUpstream)))
+	g.Expect(c.runs("stray")).To(BeZero())
 	c.node("host-1").gate.SetLocal(request.Local{Draining: true})
 	g.Expect(c.send(context.Background(), "host-1", "POST", "k3", "x").Code).To(Equal("3004"))
 }
