--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -19,6 +19,9 @@
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/request"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/rpc/gatepb"
+	"github.com/plantainseam/plantainseam/standin/httpcall"
+	"github.com/plantainseam/plantainseam/standin/upstream"
 )
 
 // rawUpstream accepts connections and hands each to serve, which speaks HTTP by hand.
@@ -131,10 +134,10 @@
 			t.Cleanup(cl.close)
 			old := cl.nodes["host-0"].upstream
 			cl.nodes["host-0"].gate.Close()
-			n := cl.start(cl.nodes["host-0"].ref, &upstream{Server: &httptest.Server{URL: "http://" + addr}})
+			n := cl.start(cl.nodes["host-0"].ref, &upstream.Server{Server: &httptest.Server{URL: "http://" + addr}})
 			n.upstream = old
 			r := cl.send(context.Background(), "host-0", c.method, "k", "x")
-			g.Expect(r.code).To(Equal(c.code), fmt.Sprint(r))
+			g.Expect(r.Code).To(Equal(c.code), fmt.Sprint(r))
 		})
 	}
 }
@@ -146,47 +149,69 @@
 	c.node("host-0").gate.SetLocal(request.Local{Draining: true})
 	for _, method := range []string{"GET", "POST"} {
 		r := c.send(context.Background(), "host-0", method, "k"+method, method)
-		g.Expect(r).To(Equal(reply{200, "0", "ran " + method, nil}))
-		g.Expect(c.node("host-0").upstream.runs(method)).To(BeZero())
+		g.Expect(r).To(Equal(httpcall.Reply{Status: 200, Code: "0", Body: "ran " + method}))
+		g.Expect(c.node("host-0").upstream.Runs(method)).To(BeZero())
 	}
 	g.Expect(c.node("host-0").account.Sums(serviceID, 2).Answered).To(Equal(uint64(2)))
 	g.Expect(c.node("host-1").account.Sums(serviceID, 2).Issued).To(BeZero(), "counted once, where the caller is")
+	other := &gatepb.ExecuteRequest{Service: 99, Method: "GET", Uri: []byte("/"), Body: []byte("stray")}
+	resp, err := c.node("host-1").gate.RPC().Execute(context.Background(), other)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.Code).To(Equal(uint32(result.RequestNoUpstream)))
+	g.Expect(c.runs("stray")).To(BeZero())
 	c.node("host-1").gate.SetLocal(request.Local{Draining: true})
-	g.Expect(c.send(context.Background(), "host-1", "POST", "k3", "x").code).To(Equal("3004"))
+	g.Expect(c.send(context.Background(), "host-1", "POST", "k3", "x").Code).To(Equal("3004"))
 }
 
 // Guards against a retry that runs again, or is told "not run", after the agent that ran the request was restarted.
 func TestOwnerRestarts(t *testing.T) {
 	g := NewWithT(t)
 	release := make(chan struct{})
-	c := withCluster(t, 2, func(*http.Request, string) behaviour { <-release; return behaviour{} })
-	first := make(chan reply, 1)
+	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour { <-release; return upstream.Behaviour{} })
+	first := make(chan httpcall.Reply, 1)
 	go func() { first <- c.send(context.Background(), "host-0", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
-	g.Eventually(func() uint64 { c.log.mu.Lock(); defer c.log.mu.Unlock(); return c.log.table.Stats().Bound }).Should(Equal(uint64(1)))
+	g.Eventually(func() uint64 { return c.log.Stats().Bound }).Should(Equal(uint64(1)))
 	c.restart("host-0")
-	g.Expect((<-first).err).To(HaveOccurred())
+	g.Expect((<-first).Err).To(HaveOccurred())
 	for _, host := range []model.HostID{"host-1", "host-0"} {
-		g.Expect(c.send(context.Background(), host, "POST", "k", "match").code).To(Equal("3201"))
+		g.Expect(c.send(context.Background(), host, "POST", "k", "match").Code).To(Equal("3201"))
 	}
 	close(release)
 }
 
+// Guards against a planned stop that leaves a run behind whose end the log never learns.
+func TestShutdownRecordsRuns(t *testing.T) {
+	g := NewWithT(t)
+	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour {
+		return upstream.Behaviour{Delay: 200 * time.Millisecond}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		g.Eventually(func() int { return c.node("host-0").gate.Stats().Running }).Should(Equal(1))
+		cancel()
+	}()
+	g.Expect(c.send(ctx, "host-0", "POST", "k", "match").Err).To(HaveOccurred())
+	g.Expect(c.node("host-0").gate.Shutdown(context.Background())).To(Succeed())
+	g.Expect(c.runs("match")).To(Equal(1))
+	g.Expect(c.send(context.Background(), "host-1", "POST", "k", "match").Code).To(Equal("3202"))
+}
+
 // Guards against a join that gives up, or a run that is cancelled, while the owner's run takes longer than one poll.
 func TestJoinOfLongRun(t *testing.T) {
 	g := NewWithT(t)
 	release := make(chan struct{})
-	c := withCluster(t, 2, func(*http.Request, string) behaviour { <-release; return behaviour{} })
-	replies := make(chan reply, 2)
+	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour { <-release; return upstream.Behaviour{} })
+	replies := make(chan httpcall.Reply, 2)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { replies <- c.send(ctx, "host-0", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
 	go func() { replies <- c.send(context.Background(), "host-1", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(2))
 	cancel()
-	g.Expect((<-replies).err).To(HaveOccurred())
+	g.Expect((<-replies).Err).To(HaveOccurred())
 	time.AfterFunc(3*time.Second, func() { close(release) })
-	g.Expect((<-replies).body).To(Equal("ran match"))
+	g.Expect((<-replies).Body).To(Equal("ran match"))
 	g.Expect(c.runs("match")).To(Equal(1))
 }
 
@@ -195,11 +220,11 @@
 	g := NewWithT(t)
 	c := newCluster(1, 1, plain, func(cfg *request.Config) { cfg.BindPatience = 50 * time.Millisecond })
 	t.Cleanup(c.close)
-	c.log.set(func(l *log) { l.down = true })
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").code).To(Equal("3102"))
-	g.Expect(c.send(context.Background(), "host-0", "GET", "", "y").code).To(Equal("0"))
-	c.log.set(func(l *log) { l.down = false })
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").code).To(Equal("0"))
+	c.log.FailWith(noQuorum)
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").Code).To(Equal("3102"))
+	g.Expect(c.send(context.Background(), "host-0", "GET", "", "y").Code).To(Equal("0"))
+	c.log.FailWith(works)
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x").Code).To(Equal("0"))
 	g.Expect(c.runs("x")).To(Equal(1))
 }
 
@@ -207,21 +232,21 @@
 func TestCancelReachesUpstream(t *testing.T) {
 	g := NewWithT(t)
 	ended := make(chan string, 2)
-	c := withCluster(t, 1, func(r *http.Request, body string) behaviour {
+	c := withCluster(t, 1, func(r *http.Request, body string) upstream.Behaviour {
 		<-r.Context().Done()
 		ended <- body + r.Header.Get(gate.HeaderDeadline)
-		return behaviour{}
+		return upstream.Behaviour{}
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
 		cancel()
 	}()
-	g.Expect(c.send(ctx, "host-0", "GET", "", "one").err).To(HaveOccurred())
+	g.Expect(c.send(ctx, "host-0", "GET", "", "one").Err).To(HaveOccurred())
 	g.Eventually(ended).Should(Receive(Equal("one")))
 	deadline := time.Now().Add(100 * time.Millisecond).Format(time.RFC3339Nano)
 	r := c.send(context.Background(), "host-0", "POST", "k", "two", gate.HeaderDeadline, deadline)
-	g.Expect(r.code).To(Equal(fmt.Sprint(int(result.RequestOutcomeUnknown))))
+	g.Expect(r.Code).To(Equal(fmt.Sprint(int(result.RequestOutcomeUnknown))))
 	g.Eventually(ended).Should(Receive(Equal("two" + deadline)))
 	g.Expect(c.node("host-0").account.Check()).To(BeEmpty())
 }
@@ -230,10 +255,13 @@
 func TestMalformedRequests(t *testing.T) {
 	g := NewWithT(t)
 	c := withCluster(t, 1, plain)
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k", strings.Repeat("x", 2<<20)).code).To(Equal("3013"))
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k\xff", "x").code).To(Equal("3011"))
-	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x", gate.HeaderDeadline, "soon").code).To(Equal("3011"))
-	g.Expect(c.send(context.Background(), "host-0", "POST", strings.Repeat("k", 300), "x").code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", strings.Repeat("x", 2<<20)).Code).To(Equal("3013"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k\xff", "x").Code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", "k", "x", gate.HeaderDeadline, "soon").Code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "POST", strings.Repeat("k", 300), "x").Code).To(Equal("3011"))
+	far := time.Now().Add(25 * time.Hour).Format(time.RFC3339Nano)
+	g.Expect(c.send(context.Background(), "host-0", "GET", "", "x", gate.HeaderDeadline, far).Code).To(Equal("3011"))
+	g.Expect(c.send(context.Background(), "host-0", "CONNECT", "", "x").Code).To(Equal("3011"))
 	sums := c.node("host-0").account.Sums(serviceID, 2)
-	g.Expect(sums.Refused).To(Equal(uint64(4)))
+	g.Expect(sums.Refused).To(Equal(uint64(6)))
 }
--- a/internal/request/elsewhere.go
+++ b/internal/request/elsewhere.go
@@ -5,12 +5,17 @@
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/binding"
+	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
 )
 
 // joinPause separates attempts to learn the outcome of a key from the log and its owner.
 const joinPause = 100 * time.Millisecond
 
+// finishedPatience bounds the attempts to fetch the answer of a run that the log knows to have ended. Without the owner
+// only the answer's text is missing.
+const finishedPatience = 2 * time.Second
+
 // maxHandOvers bounds the agents that one request is offered to.
 const maxHandOvers = 3
 
@@ -25,16 +30,20 @@
 		m.pause(w)
 		return
 	}
+	m.counts.Joined++
 	w.owner = a.Owner
 	w.ownerFinished = a.Outcome == binding.Finished
 	w.ownerCode = a.Code
-	if w.ownerFinished && (a.Code != result.OK || a.Owner == m.cfg.Self) {
+	if w.ownerFinished && (a.Code != result.OK || a.Owner.Host == m.cfg.Self.Host) {
 		m.endJoin(w)
 		return
 	}
 	if w.giveUpAt.IsZero() {
 		w.giveUpAt = m.now.Add(m.cfg.JoinPatience)
 	}
+	if finished := m.now.Add(finishedPatience); w.ownerFinished && finished.Before(w.giveUpAt) {
+		w.giveUpAt = finished
+	}
 	m.join(w)
 }
 
@@ -93,18 +102,10 @@
 
 // joinAsked answers another agent that found this incarnation as the owner of a key.
 func (m *Machine) joinAsked(e JoinAsked) {
-	k := workKey{e.Service, e.Key}
-	w := m.keys[k]
-	if w == nil {
-		// No attempt up to now is or will be dispatched for this key: either it never was, or its end is recorded
-		// and the release has no effect. This frees a bind that arrived after its release.
+	w := m.keys[workKey{e.Service, e.Key}]
+	if w == nil || w.unbound() {
 		m.emit(Action{Kind: ActionAnswer, ID: e.ID})
-		m.emit(Action{Kind: ActionRelease, Ref: binding.Ref{
-			Service: e.Service,
-			Key:     e.Key,
-			Owner:   m.cfg.Self,
-			Attempt: m.attempt,
-		}})
+		m.releaseAll(e.Service, e.Key)
 		return
 	}
 	if w.Digest != e.Digest {
@@ -112,15 +113,33 @@
 		m.emit(Action{Kind: ActionAnswer, ID: e.ID})
 		return
 	}
-	switch w.state {
-	case stateFinishing, stateRetained:
+	if w.state == stateFinishing || w.state == stateRetained {
 		m.emit(Action{Kind: ActionAnswer, ID: e.ID, Code: w.endCode(), Answer: w.answer, Held: true})
-	case stateBinding, stateQueued, stateRunning:
-		w.cancelAt = time.Time{}
-		m.wait(w, waiter{id: e.ID, remote: true})
-	default:
-		m.emit(Action{Kind: ActionAnswer, ID: e.ID})
+		return
 	}
+	w.cancelAt = time.Time{}
+	m.wait(w, waiter{id: e.ID, remote: true})
+}
+
+// unbound tells whether no attempt of the work is or will be bound without a new bind.
+func (w *work) unbound() bool {
+	switch w.state {
+	case stateHanding, stateJoining, statePausing, stateReleasing:
+		return true
+	}
+	return false
+}
+
+// releaseAll frees a key that the log has bound to this incarnation although no work of it holds the key. No attempt up
+// to now is or will be dispatched: either it never was, or its end is recorded and the release has no effect. The cause
+// is a bind that arrived after its release.
+func (m *Machine) releaseAll(service model.ServiceID, key string) {
+	m.emit(Action{Kind: ActionRelease, Ref: binding.Ref{
+		Service: service,
+		Key:     key,
+		Owner:   m.cfg.Self,
+		Attempt: m.attempt,
+	}})
 }
 
 // canHandOver tells whether another agent can be offered the work.
@@ -155,6 +174,7 @@
 	peer.Queued++
 	m.endProbe(w)
 	w.tried = append(w.tried, peer.Host)
+	m.counts.HandedOver++
 	m.setState(w, stateHanding)
 	m.emit(Action{Kind: ActionHandOver, Run: w.ID, To: peer.Host, At: w.limitAt})
 	return true
@@ -198,7 +218,7 @@
 		m.begin(w)
 		return
 	}
-	if m.budget.spend() {
+	if m.spend() {
 		if m.handOver(w) {
 			return
 		}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -9,12 +9,16 @@
 	"github.com/plantainseam/plantainseam/internal/result"
 )
 
+// retainShare keeps one long answer from displacing all others: it may take this part of the retained bytes.
+const retainShare = 8
+
 // dispatch sends a queued work to the local upstream.
 func (m *Machine) dispatch(w *work) {
 	m.setState(w, stateRunning)
 	w.started = m.now
 	w.stopped, w.late = false, false
 	m.running++
+	m.counts.Dispatched++
 	m.service(w.Service).running++
 	m.emit(Action{Kind: ActionDispatch, Run: w.ID, Deadline: w.limitAt})
 }
@@ -57,7 +61,7 @@
 		m.refuse(w, code)
 		return
 	}
-	if !m.budget.spend() {
+	if !m.spend() {
 		m.refuse(w, result.RequestRetryBudgetSpent)
 		return
 	}
@@ -80,7 +84,7 @@
 func (m *Machine) broken(w *work, code result.Code, streamedTo ID) {
 	w.maybeRan = true
 	again := w.Idempotent && !w.keyed() && !w.stopped && streamedTo == 0 && len(w.waiters) > 0 && !w.expired(m.now)
-	if !again || !m.budget.spend() {
+	if !again || !m.spend() {
 		m.finish(w, code, nil, 0)
 		return
 	}
@@ -104,6 +108,9 @@
 		return
 	}
 	w.code, w.answer = code, a
+	if a != nil && a.size() > m.cfg.RetainBytes/retainShare {
+		w.answer = nil
+	}
 	m.setState(w, stateFinishing)
 	delete(m.works, w.ID)
 	m.ended[w.ID] = w
