Stop grouped appends from overwriting entries that messages still use

Cause: when a grouped append removed entries and added others, it wrote into the array that the core's log and unsent messages share. A late message could have carried an entry of another term under the old position. Conclusion: entries handed out by the core are never written by the adapter.

--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -157,6 +157,11 @@
 	for {
 		o := p.core.TakeOutput()
 		g.messages = append(g.messages, o.Now...)
+		for _, m := range o.Now {
+			if m.Size() > testConfig.MaxMessageBytes+messageOverhead+memberOverhead*8 {
+				g.fail("message of %d bytes from %s", m.Size(), id)
+			}
+		}
 		if o.NeedsSync() {
 			p.unsynced = append(p.unsynced, o)
 		}
--- a/internal/consensus/node/persister.go
+++ b/internal/consensus/node/persister.go
@@ -98,14 +98,16 @@
 		return
 	}
 	first := entries[0].Index
-	for n := len(g.entries); n > 0 && g.entries[n-1].Index >= first; n-- {
-		g.entries = g.entries[:n-1]
+	n := len(g.entries)
+	for n > 0 && g.entries[n-1].Index >= first {
+		n--
 	}
-	if len(g.entries) == 0 {
-		g.entries = entries[:len(entries):len(entries)]
+	if n == 0 {
+		g.entries = entries
 		return
 	}
-	g.entries = append(g.entries, entries...)
+	// The limited capacity makes append copy: messages that are not yet sent refer to the same entries.
+	g.entries = append(g.entries[:n:n], entries...)
 }
 
 func (g *group) flush(store consensus.Store) error {
