Show why requests were refused in the callers' tally

Cause: one walkthrough had 23 refused requests and nothing said why. Change: the tally counts refusals by the result header of the answer.

--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -7,10 +7,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -48,7 +50,8 @@
 	Images, CutImages                               atomic.Int64
 
 	mu       sync.Mutex
-	keys     []string // idempotency keys of answered requests
+	keys     []string       // idempotency keys of answered requests
+	refusals map[string]int // refused requests by result
 	failures []string
 }
 
@@ -99,11 +102,25 @@
 	fmt.Fprintf(w, "  images: asked for %d, truncated or missing %d\n", t.Images.Load(), t.CutImages.Load())
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, result := range slices.Sorted(maps.Keys(t.refusals)) {
+		fmt.Fprintf(w, "  refused with %s: %d\n", result, t.refusals[result])
+	}
 	for _, f := range t.failures {
 		fmt.Fprintf(w, "  ! %s\n", f)
 	}
 }
 
+// refuse counts a refused request.
+func (t *Tally) refuse(result string) {
+	t.Refused.Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.refusals == nil {
+		t.refusals = map[string]int{}
+	}
+	t.refusals[result]++
+}
+
 func (t *Tally) fail(format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -211,7 +228,7 @@
 func (l *load) request(client *http.Client, method, path, key string, body []byte, t *Tally) bool {
 	for range resends {
 		t.Issued.Add(1)
-		status, answer, err := send(client, method, "http://"+l.target.Requests.String()+path, key, body)
+		status, answer, result, err := send(client, method, "http://"+l.target.Requests.String()+path, key, body)
 		switch {
 		case err != nil:
 			t.Lost.Add(1)
@@ -225,7 +242,7 @@
 			t.fail("%s %s: answer %.80q", method, path, answer)
 			return false
 		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-			t.Refused.Add(1)
+			t.refuse(result)
 			time.Sleep(think)
 		default:
 			t.Unknown.Add(1)
@@ -236,23 +253,24 @@
 	return false
 }
 
-func send(client *http.Client, method, url, key string, body []byte) (int, string, error) {
+// send returns status, body and the Plantainseam-Result header of the answer.
+func send(client *http.Client, method, url, key string, body []byte) (int, string, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, "", err
+		return 0, "", "", err
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(answer), err
+	return resp.StatusCode, string(answer), resp.Header.Get("Plantainseam-Result"), err
 }
 
 // studio fetches images over the stream service.
@@ -262,7 +280,7 @@
 		path := fmt.Sprintf("/image/%s/%d", h.Addr(), n)
 		body := bytes.Repeat([]byte("x"), imageLines)
 		t.Images.Add(1)
-		status, answer, err := send(client, http.MethodPost, "http://"+l.target.Images.String()+path, "", body)
+		status, answer, _, err := send(client, http.MethodPost, "http://"+l.target.Images.String()+path, "", body)
 		if err != nil || status != http.StatusOK || !strings.Contains(answer, " "+path+" "+strconv.Itoa(len(body))+"\n") {
 			t.CutImages.Add(1)
 			t.fail("image %s: status %d, %v", path, status, err)
