Count the ends that fall into the time of an intent

Cause: the account is to be exact per intent as well, and agents do not know the intents. Change: the catalog adds newly reported ends to the intent that holds the service or the host; the report lists them and its verification bounds them by the sums.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/plantainseam/plantainseam/internal/account"
 	"github.com/plantainseam/plantainseam/internal/catalog"
 	"github.com/plantainseam/plantainseam/internal/consensus"
 	"github.com/plantainseam/plantainseam/internal/result"
@@ -95,6 +96,38 @@
 	}
 }
 
+// Guards against ends that are counted for no intent, for the wrong one, or twice after a resend.
+func TestEndsAreCountedForTheIntentInProgress(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	at := time.UnixMilli(1_800_000_000_000)
+	history := commands(t)
+	totals := func(index uint64, host string, code uint32, count uint64) {
+		cmd, err := catalog.Encode(&catalogpb.Command{Do: &catalogpb.Command_Totals{Totals: &catalogpb.Totals{
+			Hosts: []*catalogpb.HostTotals{{Host: host, Incarnation: 1, Totals: []*memberpb.AccountTotal{
+				{Service: 1, Unit: "flow", Code: code, Count: count},
+			}}},
+		}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		c.Apply(index, at, cmd)
+	}
+	for i, cmd := range history[:10] { // up to the confirmation of intent 2, which holds the service
+		c.Apply(uint64(i+1), at, cmd)
+	}
+	totals(11, "h1", 0, 6) // 4 were reported before
+	totals(12, "h1", 0, 6)
+	totals(13, "h1", uint32(account.CodeStarted), 9)
+	totals(14, "h2", uint32(result.FlowSilent), 3)
+	for i, cmd := range history[10:15] { // the intent is aborted
+		c.Apply(uint64(i+15), at, cmd)
+	}
+	totals(20, "h1", 0, 8)
+	g.Expect(c.ServiceByID(1).ByIntent).To(HaveExactElements(
+		And(HaveField("Intent", BeEquivalentTo(2)), HaveField("Code", BeZero()), HaveField("Count", BeEquivalentTo(2))),
+		And(HaveField("Intent", BeEquivalentTo(2)), HaveField("Code", BeEquivalentTo(result.FlowSilent)), HaveField("Count", BeEquivalentTo(3))),
+	))
+}
+
 // Guards against a history that grows without bound or drops changes without counting them, and against an account that
 // grows with each restart, or counts an incarnation twice when its last totals arrive late.
 func TestHistoryAndAccountAreBounded(t *testing.T) {
--- a/internal/catalog/totals.go
+++ b/internal/catalog/totals.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/plantainseam/plantainseam/internal/account"
 	"github.com/plantainseam/plantainseam/rpc/catalogpb"
 	"github.com/plantainseam/plantainseam/rpc/memberpb"
 )
@@ -21,14 +22,28 @@
 	caller string
 }
 
+type intentKey struct {
+	intent uint64
+	unit   string
+	code   uint32
+}
+
 // accountRows indexes the account of one service.
 type accountRows struct {
-	totals  map[totalKey]*catalogpb.Total
-	callers map[callerKey]*catalogpb.CallerTotal
+	totals   map[totalKey]*catalogpb.Total
+	callers  map[callerKey]*catalogpb.CallerTotal
+	byIntent map[intentKey]*catalogpb.IntentTotal
 }
 
 func newAccountRows(svc *catalogpb.Service) *accountRows {
-	r := &accountRows{totals: map[totalKey]*catalogpb.Total{}, callers: map[callerKey]*catalogpb.CallerTotal{}}
+	r := &accountRows{
+		totals:   map[totalKey]*catalogpb.Total{},
+		callers:  map[callerKey]*catalogpb.CallerTotal{},
+		byIntent: map[intentKey]*catalogpb.IntentTotal{},
+	}
+	for _, t := range svc.ByIntent {
+		r.byIntent[intentKey{t.Intent, t.Unit, t.Code}] = t
+	}
 	for _, t := range svc.Totals {
 		r.totals[totalKey{t.Host, t.Incarnation, t.Unit, t.Code, t.Intent}] = t
 	}
@@ -47,7 +62,8 @@
 		}
 		for _, t := range h.Totals {
 			if svc := c.services[t.Service]; svc != nil {
-				c.rowsOf(svc).addTotal(svc, h, t)
+				more := c.rowsOf(svc).addTotal(svc, h, t)
+				c.attribute(svc, h.Host, t, more)
 			}
 		}
 		for _, t := range h.Callers {
@@ -112,7 +128,30 @@
 	return c.rows[svc.Id]
 }
 
-func (r *accountRows) addTotal(svc *catalogpb.Service, h *catalogpb.HostTotals, t *memberpb.AccountTotal) {
+// attribute counts newly reported ends for the intent that holds the service or the host.
+func (c *Catalog) attribute(svc *catalogpb.Service, host string, t *memberpb.AccountTotal, more uint64) {
+	intent := c.Claimant(ServiceObject(svc.Name))
+	if intent == 0 {
+		intent = c.Claimant(HostObject(host))
+	}
+	if intent == 0 || more == 0 || t.Code == uint32(account.CodeStarted) {
+		return
+	}
+	c.rowsOf(svc).addIntent(svc, intentKey{intent, t.Unit, t.Code}, more)
+}
+
+func (r *accountRows) addIntent(svc *catalogpb.Service, key intentKey, count uint64) {
+	row := r.byIntent[key]
+	if row == nil {
+		row = &catalogpb.IntentTotal{Intent: key.intent, Unit: key.unit, Code: key.code}
+		r.byIntent[key] = row
+		svc.ByIntent = append(svc.ByIntent, row)
+	}
+	row.Count += count
+}
+
+// addTotal stores a cumulative count and returns by how much it has grown.
+func (r *accountRows) addTotal(svc *catalogpb.Service, h *catalogpb.HostTotals, t *memberpb.AccountTotal) uint64 {
 	key := totalKey{h.Host, h.Incarnation, t.Unit, t.Code, t.Intent}
 	row := r.totals[key]
 	if row == nil {
@@ -120,7 +159,12 @@
 		r.totals[key] = row
 		svc.Totals = append(svc.Totals, row)
 	}
-	row.Count = max(row.Count, t.Count)
+	if t.Count <= row.Count {
+		return 0
+	}
+	more := t.Count - row.Count
+	row.Count = t.Count
+	return more
 }
 
 func (r *accountRows) addCaller(svc *catalogpb.Service, h *catalogpb.HostTotals, t *memberpb.CallerTotal) {
@@ -147,6 +191,9 @@
 		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.Unit, b.Unit),
 			cmp.Compare(a.Code, b.Code), cmp.Compare(a.Intent, b.Intent))
 	})
+	slices.SortFunc(svc.ByIntent, func(a, b *catalogpb.IntentTotal) int {
+		return cmp.Or(cmp.Compare(a.Intent, b.Intent), cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Code, b.Code))
+	})
 	slices.SortFunc(svc.Callers, func(a, b *catalogpb.CallerTotal) int {
 		return cmp.Or(cmp.Compare(a.Caller, b.Caller), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation),
 			cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Code, b.Code), cmp.Compare(a.Intent, b.Intent))
--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -45,12 +45,24 @@
 	for _, s := range sums {
 		r.add(Record{Sum: &s})
 	}
+	for _, d := range sortedByIntent(svc.ByIntent) {
+		r.add(Record{During: &During{
+			Intent: d.Intent, Unit: d.Unit, Code: d.Code, Outcome: Outcome(d.Code), Count: d.Count,
+		}})
+	}
 	for _, t := range totals(sums) {
 		r.add(Record{Total: &t})
 	}
 	return r, nil
 }
 
+// sortedByIntent returns the rows in an order that does not depend on how the catalog was restored.
+func sortedByIntent(rows []*catalogpb.IntentTotal) []*catalogpb.IntentTotal {
+	return slices.SortedFunc(slices.Values(rows), func(a, b *catalogpb.IntentTotal) int {
+		return cmp.Or(cmp.Compare(a.Intent, b.Intent), cmp.Compare(a.Unit, b.Unit), cmp.Compare(a.Code, b.Code))
+	})
+}
+
 func changeOf(ch *catalogpb.Change) *Change {
 	return &Change{
 		AtUnixMs:        ch.AtUnixMs,
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -44,6 +44,10 @@
 <table><tr><th>unit</th><th>outcome</th><th>count</th><th>with caller</th><th>without caller</th></tr>
 {{range .Records}}{{with .Sum}}<tr><td>{{.Unit}}</td><td>{{.Outcome}}</td><td>{{.Count}}</td><td>{{.Listed}}</td><td>{{.Unlisted}}</td></tr>
 {{end}}{{end}}</table>
+<h2>Ended while an intent was carried out</h2>
+<table><tr><th>intent</th><th>unit</th><th>outcome</th><th>count</th></tr>
+{{range .Records}}{{with .During}}<tr><td>{{.Intent}}</td><td>{{.Unit}}</td><td>{{.Outcome}}</td><td>{{.Count}}</td></tr>
+{{end}}{{end}}</table>
 <h2>Unknown</h2>
 <table><tr><th>what</th><th>count</th></tr>
 {{range .Records}}{{with .Unknown}}<tr><td>{{.Text}}</td><td>{{number .Count}}</td></tr>
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -35,6 +35,7 @@
 	Caller   *Caller  `json:"caller,omitempty"`
 	Unknown  *Unknown `json:"unknown,omitempty"`
 	Sum      *Sum     `json:"sum,omitempty"`
+	During   *During  `json:"during,omitempty"`
 	Total    *Total   `json:"total,omitempty"`
 	Hash     string   `json:"hash,omitempty"`
 }
@@ -91,6 +92,16 @@
 	Unlisted uint64 `json:"unlisted"` // without a caller record
 }
 
+// During counts the ends of one outcome that were reported while an intent held the service or the host. Ends just
+// before and after the plan can fall into the same report of a host.
+type During struct {
+	Intent  uint64 `json:"intent"`
+	Unit    string `json:"unit"`
+	Code    uint32 `json:"code"`
+	Outcome string `json:"outcome"`
+	Count   uint64 `json:"count"`
+}
+
 // Total is the exact count of one unit over all outcomes. Issued = Normal + Refused + Broken + Unknown, and Unknown
 // contains Unreported.
 type Total struct {
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"strings"
 	"testing"
@@ -34,6 +36,7 @@
 func closed(t testing.TB) *catalog.Catalog {
 	state := &catalogpb.State{Revision: 9, LastService: 1, Services: []*catalogpb.Service{{
 		Id: 1, Name: "iarratas", Frontend: "10.0.0.1:80", Kind: 2, Closed: true, CreatedUnixMs: 1000, ClosedUnixMs: 90_000,
+		ByIntent: []*catalogpb.IntentTotal{{Intent: 4, Unit: "request", Count: 5}},
 	}}, Changes: []*catalogpb.Change{
 		{Index: 1, AtUnixMs: 2000, Revision: 3, Service: 1, Text: "draining h1", Host: "h1", Intent: 4, Operator: "ann", Plan: 2, ConfirmedBy: "bob", ConfirmedUnixMs: 1900},
 		{Index: 2, AtUnixMs: 3000, Revision: 4, Service: 1, Text: "host h2 declared lost", Host: "h2", Uncertain: true},
@@ -123,6 +126,18 @@
 	g.Expect(result.CodeOf(err)).To(Equal(result.PlanUnknownService))
 }
 
+// rechain makes the hashes fit changed records, as a forger without a key can.
+func rechain(r *report.Report) {
+	previous := ""
+	for i := range r.Records {
+		r.Records[i].Hash = ""
+		body, _ := json.Marshal(r.Records[i])
+		sum := sha256.Sum256(append([]byte(previous), body...))
+		previous = hex.EncodeToString(sum[:])
+		r.Records[i].Hash = previous
+	}
+}
+
 // Guards against a changed, cut or unsigned report that verifies.
 func TestVerify(t *testing.T) {
 	raw := signed(t)
@@ -152,9 +167,17 @@
 		"name changed":        {edit(func(r *report.Report) { r.Signatures[1].Name = "bob" }), result.ReportInvalid},
 		"unknown system key":  {foreign, result.ReportInvalid},
 		"unknown member":      {bytes.Replace(raw, []byte(`"format"`), []byte(`"extra": 1, "format"`), 1), result.ReportInvalid},
-		"trailing data":       {append(bytes.Clone(raw), "{}"...), result.ReportInvalid},
-		"other format":        {bytes.Replace(raw, []byte("report-1"), []byte("report-2"), 1), result.ReportInvalid},
-		"empty":               {nil, result.ReportInvalid},
+		"more during intents than in all": {edit(func(r *report.Report) {
+			for i := range r.Records {
+				if r.Records[i].During != nil {
+					r.Records[i].During.Count = 500
+				}
+			}
+			rechain(r)
+		}), result.ReportInvalid},
+		"trailing data": {append(bytes.Clone(raw), "{}"...), result.ReportInvalid},
+		"other format":  {bytes.Replace(raw, []byte("report-1"), []byte("report-2"), 1), result.ReportInvalid},
+		"empty":         {nil, result.ReportInvalid},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -189,6 +212,7 @@
 		g.Expect(text.String()).To(ContainSubstring(part))
 		g.Expect(page.String()).To(ContainSubstring(part))
 	}
+	g.Expect(text.String()).To(MatchRegexp(`4 +request +completed +5`))
 	g.Expect(text.String()).NotTo(ContainSubstring("\nforged"))
 	g.Expect(page.String()).NotTo(ContainSubstring("<script>"))
 	g.Expect(strings.Count(page.String(), "<svg")).To(Equal(2))
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -31,6 +31,12 @@
 			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\n", clean(rec.Sum.Unit), clean(rec.Sum.Outcome), rec.Sum.Count, rec.Sum.Listed, rec.Sum.Unlisted)
 		}
 	}
+	section("Ended while an intent was carried out", "intent\tunit\toutcome\tcount")
+	for _, rec := range r.Records {
+		if d := rec.During; d != nil {
+			fmt.Fprintf(t, "%d\t%s\t%s\t%d\n", d.Intent, clean(d.Unit), clean(d.Outcome), d.Count)
+		}
+	}
 	section("Totals", "unit\tissued\tnormal\trefused\tbroken\tunknown\tof these unreported")
 	for _, rec := range r.Records {
 		if rec.Total != nil {
--- a/internal/report/verify.go
+++ b/internal/report/verify.go
@@ -105,7 +105,7 @@
 func (rec Record) bodies() int {
 	n := 0
 	for _, set := range []bool{
-		rec.Service != nil, rec.Change != nil, rec.Caller != nil, rec.Unknown != nil, rec.Sum != nil, rec.Total != nil,
+		rec.Service != nil, rec.Change != nil, rec.Caller != nil, rec.Unknown != nil, rec.Sum != nil, rec.During != nil, rec.Total != nil,
 	} {
 		if set {
 			n++
@@ -117,6 +117,7 @@
 // verifySums recomputes the sums from the caller records and the totals from the sums.
 func (r *Report) verifySums() error {
 	listed := map[sumKey]uint64{}
+	during := map[sumKey]uint64{}
 	var sums []Sum
 	want := map[string]Total{}
 	for _, rec := range r.Records {
@@ -125,6 +126,8 @@
 			listed[sumKey{rec.Caller.Unit, rec.Caller.Code}] += rec.Caller.Count
 		case rec.Sum != nil:
 			sums = append(sums, *rec.Sum)
+		case rec.During != nil:
+			during[sumKey{rec.During.Unit, rec.During.Code}] += rec.During.Count
 		case rec.Total != nil:
 			want[rec.Total.Unit] = *rec.Total
 		}
@@ -134,10 +137,14 @@
 		if s.Listed != listed[key] || s.Count != s.Listed+s.Unlisted {
 			return invalid("the sum of %s %s does not match its records", s.Unit, s.Outcome)
 		}
+		if during[key] > s.Count {
+			return invalid("more %s %s during intents than in all", s.Unit, s.Outcome)
+		}
 		delete(listed, key)
+		delete(during, key)
 	}
-	if len(listed) > 0 {
-		return invalid("caller records without a sum")
+	if len(listed) > 0 || len(during) > 0 {
+		return invalid("caller or intent records without a sum")
 	}
 	have := totals(sums)
 	for _, t := range have {
