Take new flows only under a configuration from after the last gap in the lease

Cause: the flow machine's contract says that an agent that lost its lease may have been replaced as a home; the daemon let it accept again as soon as the lease was renewed, with whatever configuration it had. Change: acceptance waits for the revision that the renewal names; ages are never negative; codes 2112 and 2113. Conclusion: a partitioned agent cannot own a second copy of a flow after it returns.

--- a/internal/agent/flows.go
+++ b/internal/agent/flows.go
@@ -71,9 +71,10 @@
 	return f
 }
 
-// note keeps the first reason.
+// note keeps the first reason. The relay also takes a flow that the delivery ends for one that the caller reset, so the
+// delivery's reason replaces that one.
 func (f *openFlow) note(code result.Code) {
-	if f.code == result.OK {
+	if f.code == result.OK || f.code == result.FlowCallerReset && code != result.OK {
 		f.code = code
 	}
 }
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -93,15 +93,15 @@
 // writing when the upstream did.
 func endOfCaller(err error) result.Code {
 	if errors.As(err, &readError{}) {
-		return result.OK
+		return result.FlowCallerReset
 	}
-	return result.Internal
+	return result.FlowUpstreamReset
 }
 
 // endOfUpstream is endOfCaller for the other direction.
 func endOfUpstream(err error) result.Code {
 	if errors.As(err, &readError{}) {
-		return result.Internal
+		return result.FlowUpstreamReset
 	}
-	return result.OK
+	return result.FlowCallerReset
 }
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -231,6 +231,7 @@
 	ticker := time.NewTicker(localInterval)
 	defer ticker.Stop()
 	var last request.Local
+	var accept acceptance
 	for {
 		select {
 		case <-ctx.Done():
@@ -238,7 +239,7 @@
 		case now := <-ticker.C:
 			cold := r.health.cold()
 			r.agent.SetLocal(flow.Local{
-				AcceptNew: r.announcer.Lease().Valid(now) && !r.leaving.Load(),
+				AcceptNew: accept.allowed(r.announcer.Lease(), now, r.config.revision()) && !r.leaving.Load(),
 				Load:      float64(r.gate.Stats().Waiting) / float64(r.process.settings.Upstream.Slots),
 				Cold:      cold,
 			})
--- a/internal/flow/claim.go
+++ b/internal/flow/claim.go
@@ -415,7 +415,7 @@
 	}
 	limit := uint32(pendingAudit / time.Second)
 	m.halfOpen.each(func(k packed, h *halfOpen) {
-		if !h.record.owned() && seconds(now)-h.since >= limit && len(audited) < 3*auditBatch {
+		if !h.record.owned() && elapsed(now, h.since) >= limit && len(audited) < 3*auditBatch {
 			audited = append(audited, peerFlow{key: k, peer: h.record.peer()})
 		}
 	})
--- a/internal/flow/contract_test.go
+++ b/internal/flow/contract_test.go
@@ -55,6 +55,15 @@
 			data := flow.Packet{Key: benchKey(1), Generation: 1}
 			g.Expect(m.Packet(start, data, nil)[0].Kind).To(Equal(flow.ActionReset))
 		},
+		"a handshake survives a clock that is set back": func(g *WithT, m flow.Machine) {
+			m.Packet(start, syn(1), nil)
+			for range 40 { // the scan for old handshakes visits the whole table
+				for _, a := range m.Tick(start.Add(-time.Minute), nil) {
+					g.Expect(a.Kind).NotTo(Equal(flow.ActionCloseLocal))
+				}
+			}
+			g.Expect(m.Stats().HalfOpen).To(Equal(1))
+		},
 		"a reset is not answered with a reset": func(g *WithT, m flow.Machine) {
 			p := flow.Packet{Key: benchKey(1), Flags: flow.FlagRST, Generation: 1}
 			g.Expect(m.Packet(start, p, nil)[0].Kind).To(Equal(flow.ActionDrop))
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -46,6 +46,14 @@
 
 func seconds(now time.Time) uint32 { return uint32(now.Unix()) }
 
+// elapsed returns the seconds since a time; 0 if that is later than now, as after a step of the clock.
+func elapsed(now time.Time, since uint32) uint32 {
+	if s := seconds(now); s > since {
+		return s - since
+	}
+	return 0
+}
+
 // peer is another agent.
 type peer struct {
 	index       uint16
--- a/internal/flow/register.go
+++ b/internal/flow/register.go
@@ -310,7 +310,7 @@
 	limit := uint32(halfOpenTimeout / time.Second)
 	var expired []packed
 	m.cursor.halfOpen = m.halfOpen.scan(m.cursor.halfOpen, perTick, func(k packed, h *halfOpen) {
-		if h.record.owned() && seconds(now)-h.since >= limit {
+		if h.record.owned() && elapsed(now, h.since) >= limit {
 			expired = append(expired, k)
 		}
 	})
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -34,6 +34,8 @@
 	FlowServiceClosing  Code = 2109
 	FlowUpstreamRefused Code = 2110
 	FlowLeaseExpired    Code = 2111
+	FlowCallerReset     Code = 2112
+	FlowUpstreamReset   Code = 2113
 )
 
 // Request codes. Codes from 3001 to 3099 are refusals: the request was not run.
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -24,6 +24,8 @@
 	FlowServiceClosing:       {Name: "flow-service-closing", Meaning: "The service is closing and takes no new flows.", Action: "None."},
 	FlowUpstreamRefused:      {Name: "flow-upstream-refused", Meaning: "The upstream process refused the connection.", Action: "Check the upstream process."},
 	FlowLeaseExpired:         {Name: "flow-lease-expired", Meaning: "The agent's lease expired; it takes no new flows.", Action: "Check the path from the host to the control VMs."},
+	FlowCallerReset:          {Name: "flow-caller-reset", Meaning: "The caller ended the flow with a reset.", Action: "None."},
+	FlowUpstreamReset:        {Name: "flow-upstream-reset", Meaning: "The upstream process ended the flow with a reset.", Action: "Check the upstream process."},
 	RequestQueueFull:         {Name: "request-queue-full", Meaning: "The queue of the service is full; the request was not run.", Action: "Retry later."},
 	RequestDeadlineTooShort:  {Name: "request-deadline-too-short", Meaning: "The request cannot finish by its deadline; it was not run.", Action: "Retry with a later deadline."},
 	RequestDeadlinePassed:    {Name: "request-deadline-passed", Meaning: "The deadline passed before dispatch; the request was not run.", Action: "Send a new request."},
