Cases for refusals of other agents and keyed idempotent requests

Cause: three mutations of the request machine passed every test: a refusal of a hand-over or of a joined run passed on unchecked, and a keyed PUT sent again after an unknown outcome. Change: a named case for each; the property test draws keyed idempotent requests.

--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -23,7 +23,8 @@
 
 // script runs steps of the form "verb:agent:arguments" and returns the codes that the callers got, "-" for none.
 //
-//	send:0:key:body:seconds  caller sends to agent 0 with a deadline in seconds; "get" as the key sends an unkeyed GET
+//	send:0:key:body:seconds  caller sends to agent 0 with a deadline in seconds; "get" as the key sends an unkeyed
+//	                         GET, "put" is the key of an idempotent request
 //	deliver:bind:0           the oldest message of that kind from agent 0 arrives; newest: the latest one; again: a copy
 //	lose:bind:0              its sender gives up; the message may still arrive
 //	crash:0  lost:0  drain:0  nopeers:0  cancel:n  wait:1s  restore
@@ -47,7 +48,7 @@
 		number := func() int { n, _ := strconv.Atoi(f[1]); return n }
 		switch f[0] {
 		case "send":
-			s := &send{key: f[2], body: f[3], tag: f[2] + f[3]}
+			s := &send{key: f[2], body: f[3], tag: f[2] + f[3], idempotent: f[2] == "put"}
 			if f[2] == "get" {
 				s = &send{tag: fmt.Sprint("get-", len(codes)), idempotent: true}
 			}
@@ -132,6 +133,9 @@
 	{"upstream sheds: handed over while still bound here", run0 + "deliver:release:0 deliver:release-answer:0 deliver:hand-over:0 deliver:bind:1 deliver:bind-answer:1 deliver:dispatch:1 deliver:hand-over-answer:0", shed, "0", 1},
 	{"upstream refuses and no other agent: not told so", "nopeers:0 " + run0, notSent, "3008", 0},
 	{"refused after a release although another send ran", run0 + "send:1:k:a deliver:release:0 nopeers:0 deliver:bind:1 deliver:bind-answer:1 deliver:dispatch:1 deliver:release-answer:0 deliver:bind:0 deliver:bind-answer:0 deliver:join:0 deliver:join-answer:0", shed, "0 0", 1},
+	{"refusal of a hand-over passed on although another send ran", "drain:0 send:0:k:a deliver:hand-over:0 deliver:bind:1 deliver:bind-answer:1 deliver:dispatch:1 deliver:release:1 send:2:k:a deliver:bind:2 deliver:bind-answer:2 deliver:dispatch:2 deliver:hand-over-answer:0 deliver:hand-over:0 deliver:hand-over-answer:0", notSent, "0 0", 1},
+	{"refusal of a joined run passed on although another send ran", "nopeers:0 send:0:k:a deliver:bind:0 deliver:bind-answer:0 " + join1 + "deliver:dispatch:0 deliver:release:0 send:2:k:a deliver:bind:2 deliver:bind-answer:2 deliver:dispatch:2 deliver:join-answer:1 wait:200ms deliver:bind:1 deliver:bind-answer:1 deliver:join:1 deliver:join-answer:1", notSent, "3008 0 0", 1},
+	{"keyed idempotent request sent again after an unknown outcome", "send:0:put:a deliver:bind:0 deliver:bind-answer:0 deliver:dispatch:0 deliver:dispatch:0", broken, "3201", 1},
 	{"idempotent request sent again after an unknown outcome ends as not run", "nopeers:0 send:0:get: deliver:dispatch:0 deliver:dispatch:0 ", broken + " " + notSent, "3201", 0},
 	{"cancel while binding leaves the key bound", "send:0:k:a cancel:0 deliver:bind:0 deliver:bind-answer:0 deliver:release:0 send:1:k:a deliver:bind:1 deliver:bind-answer:1 deliver:dispatch:1", "", "3006 0", 1},
 	{"cancel during dispatch: retry finds no run", "send:0:k:a deliver:bind:0 deliver:bind-answer:0 cancel:0 wait:1s send:0:k:a wait:10s deliver:dispatch:0", "", "3201 0", 1},
--- a/internal/request/property_test.go
+++ b/internal/request/property_test.go
@@ -107,6 +107,7 @@
 	if k := s.draw(8); k < 6 {
 		x = &send{key: fmt.Sprint("key-", k%3), body: fmt.Sprint("body-", s.draw(5)/4)}
 		x.tag = x.key + x.body
+		x.idempotent = s.draw(4) == 0
 		if k%3 > 0 {
 			// Sends of one key carry the same deadline.
 			x.deadline = time.Unix(1_800_000_000, 0).Add(time.Duration(k%3) * 15 * time.Second)
