Tell the bindings log which runs of agents have ended, lost ones included

Cause: retries of keys whose owner was declared lost waited for the owner until their patience ended.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -31,9 +31,6 @@
 	bindingsLog = "bindings"
 )
 
-// maxBindings bounds the keys of the bindings log.
-const maxBindings = 1_000_000
-
 // InitData creates the data directory of a control VM and returns its identity.
 func InitData(s *settings.Settings) (string, error) {
 	identity, err := store.Create(s.DataDir, string(s.Host), catalogLog, bindingsLog)
@@ -96,7 +93,7 @@
 	if r.catalog, err = r.startLog(catalogLog, r.state); err != nil {
 		return err
 	}
-	r.bindings, err = r.startLog(bindingsLog, binding.NewTable(maxBindings))
+	r.bindings, err = r.startLog(bindingsLog, binding.NewTable(0))
 	return err
 }
 
@@ -150,7 +147,7 @@
 	mux.Handle(memberpb.MembershipPathPrefix, memberpb.NewMembershipServer(control.NewMembershipServer(r.control)))
 	mux.Handle(configpb.ConfigurationPathPrefix, configpb.NewConfigurationServer(r.server))
 	mux.Handle(r.transport.PathPrefix(), r.transport.Handler())
-	bindings := binding.NewServer(&proposer{log: r.bindings})
+	bindings := binding.NewServer(&bindingsProposer{log: r.bindings})
 	mux.Handle(bindpb.BindingsPathPrefix, bindpb.NewBindingsServer(bindings))
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -78,6 +78,18 @@
 	Entry("active in a closing service", []model.UpstreamState{model.UpstreamActive}, true, true),
 )
 
+// Guards against a retry that waits for an agent that is gone, and against a run that is given up while it goes on.
+var _ = It("knows which runs of agents have ended", func() {
+	s := model.NewSnapshot()
+	for host, incarnation := range map[model.HostID]model.Incarnation{"u1": 5, "u2": 9} {
+		s.Upstreams[host] = &model.Upstream{Ref: model.HostRef{Host: host, Incarnation: incarnation}}
+	}
+	s.Services[1] = &model.Service{ID: 1, Members: []model.Member{
+		{Host: "u1", State: model.UpstreamDraining}, {Host: "u2", State: model.UpstreamLost}, {Host: "u3", State: model.UpstreamLost},
+	}}
+	Expect(lostOwners(s)).To(Equal(map[model.HostID]model.Incarnation{"u1": 4, "u2": 9}))
+})
+
 // fakePath notes what a configuration puts into force.
 type fakePath struct {
 	revisions []model.Revision
