Keep the order of the first calls of a sender

Cause: the transport contract's order case failed once in six runs under the race detector on a busy machine: the first calls of a sender travel on connections that are dialled in parallel, and a later call that arrived first set the order; a call that waited longer than 10 ms also passed out of order. Conclusion: order is kept unless a call is lost or late by more than 10 ms, which consensus tolerates.

--- a/internal/consensus/node/order.go
+++ b/internal/consensus/node/order.go
@@ -6,24 +6,23 @@
 	"time"
 )
 
-// orderWait is how long a call waits for an earlier one of its stream. It covers the reordering between connections;
-// a call that was lost must not delay the others for longer.
-const orderWait = 10 * time.Millisecond
-
 // callOrder restores the order of calls that travelled on different connections. It only avoids needless
 // retransmissions: consensus tolerates any order.
 type callOrder struct {
+	wait    time.Duration // for an earlier call
 	mu      sync.Mutex
 	stream  uint64
 	next    uint64        // sequence that need not wait
 	changed chan struct{} // closed when next changes
 }
 
-func newCallOrder() *callOrder { return &callOrder{changed: make(chan struct{})} }
+func newCallOrder(wait time.Duration) *callOrder {
+	return &callOrder{wait: wait, changed: make(chan struct{})}
+}
 
-// await returns when all earlier calls of the stream have passed, or after orderWait.
+// await returns when all earlier calls of the stream have passed, or after the longest wait.
 func (o *callOrder) await(ctx context.Context, stream, sequence uint64) {
-	timer := time.NewTimer(orderWait)
+	timer := time.NewTimer(o.wait)
 	defer timer.Stop()
 	for {
 		changed, wait := o.check(stream, sequence)
@@ -44,9 +43,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if stream != o.stream {
-		// A new process or sender: its first calls need not wait for any before them.
 		o.stream = stream
-		o.next = sequence
+		o.next = firstExpected(sequence)
 	}
 	return o.changed, sequence > o.next
 }
@@ -62,3 +60,12 @@
 	close(o.changed)
 	o.changed = make(chan struct{})
 }
+
+// firstExpected returns the call to expect first in a stream of which a call has arrived. The first calls of a new
+// sender may arrive in any order; of a stream that began before this process, the earlier calls are gone.
+func firstExpected(arrived uint64) uint64 {
+	if arrived <= callLanes {
+		return 1
+	}
+	return arrived
+}
--- a/internal/consensus/node/twirp.go
+++ b/internal/consensus/node/twirp.go
@@ -21,6 +21,7 @@
 	Address     string        // own RPC address, sent to members that do not know the membership yet
 	TLS         *tls.Config   // nil: plain HTTP
 	CallTimeout time.Duration // of one call including the dial; 0: DefaultCallTimeout
+	OrderWait   time.Duration // of a received call for an earlier one; 0: DefaultOrderWait
 	QueueBytes  int           // for one log and member; 0: DefaultQueueBytes
 	BatchBytes  int           // messages in one call; 0: DefaultBatchBytes
 	Logger      log.Logger    // nil: none
@@ -31,8 +32,10 @@
 // causes no election.
 const (
 	DefaultCallTimeout = 250 * time.Millisecond
-	DefaultQueueBytes  = 4 << 20
-	DefaultBatchBytes  = 1 << 20
+	// DefaultOrderWait covers the reordering between connections. A lost call must not delay the others for longer.
+	DefaultOrderWait  = 10 * time.Millisecond
+	DefaultQueueBytes = 4 << 20
+	DefaultBatchBytes = 1 << 20
 )
 
 // maxRequestSlack is how much a call may exceed BatchBytes, in bytes. One message may be larger than a batch, and sizes
@@ -71,6 +74,9 @@
 	if cfg.CallTimeout <= 0 {
 		cfg.CallTimeout = DefaultCallTimeout
 	}
+	if cfg.OrderWait <= 0 {
+		cfg.OrderWait = DefaultOrderWait
+	}
 	if cfg.QueueBytes <= 0 {
 		cfg.QueueBytes = DefaultQueueBytes
 	}
@@ -169,7 +175,7 @@
 		if len(t.orders) >= maxAddresses {
 			clear(t.orders) // a lost order costs at most some reordering
 		}
-		o = newCallOrder()
+		o = newCallOrder(t.cfg.OrderWait)
 		t.orders[key] = o
 	}
 	return o
@@ -182,6 +188,9 @@
 		return refusal(err), nil
 	}
 	from := consensus.MemberID(request.GetFrom())
+	o := t.order(senderKey{request.GetLog(), from})
+	o.await(ctx, request.GetStream(), request.GetSequence())
+	defer o.passed(request.GetStream(), request.GetSequence())
 	t.mu.Lock()
 	handler := t.handlers[request.GetLog()]
 	if request.GetFromAddress() != "" {
@@ -198,11 +207,7 @@
 	for _, m := range request.GetMessages() {
 		messages = append(messages, wire.ToMessage(m, from, t.cfg.ID))
 	}
-	o := t.order(senderKey{request.GetLog(), from})
-	o.await(ctx, request.GetStream(), request.GetSequence())
-	err := handler(ctx, messages)
-	o.passed(request.GetStream(), request.GetSequence())
-	if err != nil {
+	if err := handler(ctx, messages); err != nil {
 		return refusal(result.Errorf(result.NoQuorum, "%w", err)), nil
 	}
 	return &pb.StepResponse{}, nil
