Repeat a pre-vote after a heartbeat instead of an election timeout

Cause: a pre-vote that arrives just before the other voters notice the loss of the leader is refused; the next attempt came a full election timeout later. Change: a pre-candidate repeats its request after one to two heartbeat intervals. Votes keep the full timeout.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,5 +1,7 @@
 package consensus
 
+import "time"
+
 // electable reports whether this member may lead. A member whose removal is not known to be committed still may: its log
 // can be the only one that a quorum accepts, and it steps down when the removal is committed.
 func (c *Core) electable() bool {
@@ -17,7 +19,7 @@
 	c.role = PreCandidate
 	c.leader = ""
 	c.votes = map[MemberID]bool{c.cfg.ID: true}
-	c.resetElection()
+	c.retryPreVote()
 	if c.membership().hasQuorum(c.voted) {
 		c.startElection(false)
 		return
@@ -25,6 +27,13 @@
 	c.askVoters(Message{Kind: MsgPreVote, Term: c.hard.Term + 1})
 }
 
+// retryPreVote sets the time of the next attempt. A pre-vote changes nothing at the others, so it is repeated soon: the
+// first one may be lost, or arrive just before the others notice the loss of the leader.
+func (c *Core) retryPreVote() {
+	spread := time.Duration(c.random.Int64N(int64(c.cfg.Heartbeat)))
+	c.electionAt = c.now.Add(c.cfg.Heartbeat + spread)
+}
+
 // startElection asks for votes in a new term. The member's own vote counts once it is synced; see Persisted.
 func (c *Core) startElection(transfer bool) {
 	c.role = Candidate
