Export drops and ends by code, and the gate's counts

Cause: operators could not see why packets were dropped or flows ended, nor anything about requests. Change: a collector for counts by result code; gauges and counters of the gate.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -1,12 +1,16 @@
 package daemon
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/plantainseam/plantainseam/internal/agent"
 	"github.com/plantainseam/plantainseam/internal/consensus"
 	"github.com/plantainseam/plantainseam/internal/entry"
+	"github.com/plantainseam/plantainseam/internal/gate"
 	"github.com/plantainseam/plantainseam/internal/metrics"
+	"github.com/plantainseam/plantainseam/internal/result"
 )
 
 // gauge registers a value that is read at each scrape.
@@ -41,6 +45,7 @@
 }
 
 func registerAgentMetrics(r *prometheus.Registry, u *upstreamRole) {
+	registerGateMetrics(r, u.gate)
 	const subsystem = "agent"
 	gauge(r, subsystem, "revision", "Configuration revision in force.", func() float64 { return float64(u.config.revision()) })
 	gauge(r, subsystem, "flows", "Established flows.", func() float64 { return float64(len(u.agent.Flows())) })
@@ -48,12 +53,15 @@
 	gauge(r, subsystem, "unsealed_buckets", "Home buckets that not every member has sealed.", func() float64 {
 		return float64(u.agent.Stats().Unsealed)
 	})
-	gauge(r, subsystem, "waiting_requests", "Callers that wait for an answer.", func() float64 {
-		return float64(u.gate.Stats().Waiting)
-	})
 	gauge(r, subsystem, "account_mismatches", "Services whose account equation does not hold.", func() float64 {
 		return float64(len(u.counter.Check()))
 	})
+	r.MustRegister(
+		newCodeCollector(subsystem, "dropped_packets_total", "Dropped packets by result code.",
+			func() map[result.Code]uint64 { return u.agent.Counters().Dropped }),
+		newCodeCollector(subsystem, "ended_flows_total", "Established flows that ended, by result code.",
+			func() map[result.Code]uint64 { return u.agent.Counters().Ended }),
+	)
 	counts := map[string]func(agent.Counters) uint64{
 		"delivered":  func(c agent.Counters) uint64 { return c.Delivered },
 		"forwarded":  func(c agent.Counters) uint64 { return c.Forwarded },
@@ -68,6 +76,60 @@
 	}
 }
 
+// registerGateMetrics registers what the gate knows about requests.
+func registerGateMetrics(r *prometheus.Registry, g *gate.Gate) {
+	const subsystem = "gate"
+	gauges := []struct {
+		name, help string
+		read       func(gate.Stats) int
+	}{
+		{"connections", "Open connections of request services.", func(s gate.Stats) int { return s.Connections }},
+		{"running_requests", "Requests at the local upstream.", func(s gate.Stats) int { return s.Running }},
+		{"queued_requests", "Requests that wait for a slot.", func(s gate.Stats) int { return s.Queued }},
+		{"elsewhere_requests", "Requests that another agent runs.", func(s gate.Stats) int { return s.Elsewhere }},
+		{"unrecorded_keys", "Ended keyed requests that the bindings log has not recorded.", func(s gate.Stats) int { return s.Unrecorded }},
+		{"retained_bytes", "Answers kept for retries, in bytes.", func(s gate.Stats) int { return s.RetainedBytes }},
+		{"ejected_services", "Services whose local upstream is ejected.", func(s gate.Stats) int { return s.Ejected }},
+	}
+	for _, m := range gauges {
+		gauge(r, subsystem, m.name, m.help, func() float64 { return float64(m.read(g.Stats())) })
+	}
+	counts := map[string]func(gate.Stats) uint64{
+		"dispatched":         func(s gate.Stats) uint64 { return s.Dispatched },
+		"handed-over":        func(s gate.Stats) uint64 { return s.HandedOver },
+		"resent":             func(s gate.Stats) uint64 { return s.Resent },
+		"joined":             func(s gate.Stats) uint64 { return s.Joined },
+		"ejection":           func(s gate.Stats) uint64 { return s.Ejections },
+		"refused-connection": func(s gate.Stats) uint64 { return s.RefusedConnections },
+	}
+	for event, read := range counts {
+		total(r, subsystem, "events_total", "Events of requests.", prometheus.Labels{"event": event},
+			func() uint64 { return read(g.Stats()) })
+	}
+}
+
+// codeCollector exports counts by result code, which are not known in advance.
+type codeCollector struct {
+	description *prometheus.Desc
+	read        func() map[result.Code]uint64
+}
+
+func newCodeCollector(subsystem, name, help string, read func() map[result.Code]uint64) codeCollector {
+	full := prometheus.BuildFQName(metrics.Namespace, subsystem, name)
+	return codeCollector{prometheus.NewDesc(full, help, []string{"code", "result"}, nil), read}
+}
+
+// Describe implements prometheus.Collector.
+func (c codeCollector) Describe(out chan<- *prometheus.Desc) { out <- c.description }
+
+// Collect implements prometheus.Collector.
+func (c codeCollector) Collect(out chan<- prometheus.Metric) {
+	for code, count := range c.read() {
+		out <- prometheus.MustNewConstMetric(c.description, prometheus.CounterValue, float64(count),
+			strconv.Itoa(int(code)), code.String())
+	}
+}
+
 func registerControlMetrics(r *prometheus.Registry, c *controlRole) {
 	const subsystem = "control"
 	gauge(r, subsystem, "revision", "Newest committed configuration revision.", func() float64 {
