Print the imbalance in the walkthrough

Cause: imbalance is one of the two measures and the walkthrough showed broken flows only. Change: peak/mean of the runs over the hosts that stayed.

--- a/examples/walkthrough/deployment.go
+++ b/examples/walkthrough/deployment.go
@@ -301,6 +301,15 @@
 	return fmt.Errorf("leader %q is no control VM", leader)
 }
 
+// stayed returns the upstream processes of a service from the given number on.
+func (d *deployment) stayed(svc service, from int) []*backend.HTTP {
+	var out []*backend.HTTP
+	for i := from; i <= svc.hosts; i++ {
+		out = append(out, d.backends[model.HostID(hostName(svc, i))])
+	}
+	return out
+}
+
 // upstreams returns the upstream processes.
 func (d *deployment) upstreams() []*backend.HTTP {
 	var out []*backend.HTTP
--- a/examples/walkthrough/walk.go
+++ b/examples/walkthrough/walk.go
@@ -19,11 +19,12 @@
 
 // outcome is what a walk found.
 type outcome struct {
-	plan   plan
-	tally  *load.Tally
-	runs   load.Runs
-	steps  []string
-	report []byte
+	plan             plan
+	tally            *load.Tally
+	runs             load.Runs
+	requests, images float64 // peak/mean of the runs over the hosts that stayed
+	steps            []string
+	report           []byte
 }
 
 // walk runs one deployment from start to close.
@@ -56,6 +57,8 @@
 		return out, err
 	}
 	out.runs = out.tally.CheckRuns(d.upstreams())
+	out.requests = load.Imbalance(d.stayed(p.requests, 2))
+	out.images = load.Imbalance(d.stayed(p.images, 1))
 	return out, d.closeImages(ctx, out)
 }
 
@@ -159,6 +162,8 @@
 		fmt.Fprintf(w, "  - %s\n", s)
 	}
 	o.tally.Write(w, o.runs)
+	fmt.Fprintf(w, "  imbalance over the hosts that stayed, peak/mean of runs: %s %.2f, %s %.2f\n",
+		o.plan.requests.name, o.requests, o.plan.images.name, o.images)
 	if len(o.report) == 0 {
 		return
 	}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -93,6 +93,20 @@
 	return r
 }
 
+// Imbalance returns the highest number of finished runs of an upstream process over the mean, and 0 without runs.
+func Imbalance(backends []*backend.HTTP) float64 {
+	peak, sum := 0, 0
+	for _, b := range backends {
+		finished, _ := b.Finished()
+		peak = max(peak, finished)
+		sum += finished
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(peak) * float64(len(backends)) / float64(sum)
+}
+
 // Write prints the counts.
 func (t *Tally) Write(w io.Writer, runs Runs) {
 	fmt.Fprintf(w, "  flows: opened %d, broken %d\n", t.Flows.Load(), t.BrokenFlows.Load())
