Change the generation when the slots of a member change

Cause: the bucket table weighs hosts by their slots, but the generation changed only with members and states. After a change of slots two tables existed under one generation, and two agents could both be the home of a bucket and accept the same flow. Found by comparing the flow machine's needs with the catalog. Change: the members of a service carry their slots, so a new limit or a new run with other slots is a new generation. Conclusion: equal generations give equal homes.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -11,7 +11,9 @@
 	"github.com/plantainseam/plantainseam/internal/account"
 	"github.com/plantainseam/plantainseam/internal/catalog"
 	"github.com/plantainseam/plantainseam/internal/consensus"
+	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/internal/routing"
 	"github.com/plantainseam/plantainseam/rpc/catalogpb"
 	"github.com/plantainseam/plantainseam/rpc/intentpb"
 	"github.com/plantainseam/plantainseam/rpc/memberpb"
@@ -128,6 +130,59 @@
 	))
 }
 
+// Guards against two bucket tables under one generation, under which two agents would both be the home of a bucket. A
+// host's weight in the table is its number of slots, which an intent or a new run of its agent can change.
+func TestEqualGenerationsGiveEqualHomes(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	at := time.UnixMilli(1_800_000_000_000)
+	list := commands(t)[:6]
+	limit := func(id uint64, key string, limits *intentpb.SetLimits) {
+		spec := &intentpb.Spec{Want: &intentpb.Spec_Limits{Limits: limits}}
+		plan := &intentpb.Plan{Number: 1, Steps: []*intentpb.Step{{Kind: intentpb.StepKind_STEP_SET_LIMITS}}}
+		for _, cmd := range []*catalogpb.Command{
+			{Do: &catalogpb.Command_Submit{Submit: &catalogpb.Submit{Operator: "ann", Key: key, Spec: spec, Plan: plan}}},
+			{Do: &catalogpb.Command_Confirm{Confirm: &catalogpb.Confirm{Intent: id, Number: 1, Operator: "ann"}}},
+			{Do: &catalogpb.Command_Advance{Advance: &catalogpb.Advance{Intent: id, Number: 1}}},
+		} {
+			raw, err := catalog.Encode(cmd)
+			g.Expect(err).NotTo(HaveOccurred())
+			list = append(list, raw)
+		}
+	}
+	limit(2, "slots", &intentpb.SetLimits{Host: "h1", Slots: 1})
+	limit(3, "connections", &intentpb.SetLimits{Host: "h1", MaxConnections: 5})
+	restart, err := catalog.Encode(&catalogpb.Command{Do: &catalogpb.Command_Announce{Announce: &catalogpb.Announce{Hosts: []*catalogpb.Host{{
+		Host: "h2", Incarnation: 2, FailureDomain: "dh2", Carries: []string{"s"}, Slots: 9, MaxConnections: 9, Tunnel: "127.0.1.2:1", Rpc: "127.0.1.2:2",
+	}}}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	list = append(list, restart)
+
+	byGeneration := map[model.Revision][]model.HostID{}
+	tables := 0
+	for i, cmd := range list {
+		c.Apply(uint64(i+1), at, cmd)
+		config := c.Config()
+		svc := config.Services[1]
+		if svc == nil {
+			continue
+		}
+		var homes []model.HostID
+		table := routing.Build(config)
+		for b := range uint32(routing.Buckets) {
+			home, _ := table.Home(1, b)
+			homes = append(homes, home)
+		}
+		if known := byGeneration[svc.Generation]; known != nil {
+			g.Expect(homes).To(Equal(known), "command %d", i)
+		} else {
+			tables++
+		}
+		byGeneration[svc.Generation] = homes
+	}
+	g.Expect(tables).To(BeNumerically(">=", 5))
+}
+
 // Guards against a history that grows without bound or drops changes without counting them, and against an account that
 // grows with each restart, or counts an incarnation twice when its last totals arrive late.
 func TestHistoryAndAccountAreBounded(t *testing.T) {
--- a/internal/catalog/services.go
+++ b/internal/catalog/services.go
@@ -27,16 +27,19 @@
 	return slices.Clone(ids)
 }
 
-// deriveMembers recomputes the members from rights and hosts. The generation changes only when the members do.
+// deriveMembers recomputes the members from rights and hosts. The generation changes when the members, their states or
+// their slots do: these determine the homes of all buckets, and one generation must have one home per bucket.
 func (c *Catalog) deriveMembers(svc *catalogpb.Service) {
 	var members []*catalogpb.Member
 	for _, host := range svc.Rights {
 		if state, in := c.memberState(svc, c.hosts[host]); in {
-			members = append(members, &catalogpb.Member{Host: host, State: uint32(state)})
+			h := c.hosts[host]
+			slots := limited(h.Slots, h.SlotLimit)
+			members = append(members, &catalogpb.Member{Host: host, State: uint32(state), Slots: uint32(slots)})
 		}
 	}
 	same := slices.EqualFunc(members, svc.Members, func(a, b *catalogpb.Member) bool {
-		return a.Host == b.Host && a.State == b.State
+		return a.Host == b.Host && a.State == b.State && a.Slots == b.Slots
 	})
 	if same {
 		return
--- a/internal/catalog/steps.go
+++ b/internal/catalog/steps.go
@@ -176,6 +176,7 @@
 		}
 		h.Version = c.index
 		c.dirtyHosts[h.Host] = true
+		c.rederive(h.Host)
 		text := fmt.Sprintf("limits of %s set to %d slots and %d connections", h.Host, h.SlotLimit, h.ConnectionLimit)
 		c.record(in, h.Host, text, c.rightsOf[h.Host]...)
 	}
