Use the usual names for the members of a service in the flow machine

Cause: what the machine knows of another member was called a seat, and seals and answers together a word. Change: the type is member, the flag of the own host carried; comments name seals and answers. Conclusion: names only.

--- a/internal/flow/assign.go
+++ b/internal/flow/assign.go
@@ -28,8 +28,8 @@
 	maxLoadFactor = 1.08
 )
 
-// seatLoad is the last load that a member reported.
-type seatLoad struct {
+// memberLoad is the last load that a member reported.
+type memberLoad struct {
 	Load
 	at       time.Time
 	warmAt   time.Time // when the host reported the end of its cold start; zero when it never was cold
@@ -83,7 +83,7 @@
 			weight: float64(m.weight(m.cfg.Self.Host)) * warmth(now, m.local.Cold, m.warmSince),
 		})
 	}
-	for _, s := range svc.seats {
+	for _, s := range svc.members {
 		if s.peer != exclude && m.canAssign(now, svc, s) {
 			shares = append(shares, share{
 				peer: s.peer, flows: float64(int(s.load.Flows) + s.load.assigned), load: s.load.Load.Load,
@@ -158,7 +158,7 @@
 	switch {
 	case svc.cfg.Closing:
 		return result.FlowServiceClosing
-	case !svc.member:
+	case !svc.carried:
 		return result.FlowWrongService
 	case !m.local.AcceptNew:
 		return result.FlowLeaseExpired
@@ -179,7 +179,7 @@
 
 // canAssign reports whether a member may be assigned a flow. It must have reported under the same generation and to this
 // run of the agent, else it would hold or drop the packet.
-func (m *machine) canAssign(now time.Time, svc *service, s *seat) bool {
+func (m *machine) canAssign(now time.Time, svc *service, s *member) bool {
 	l := &s.load
 	return s.state == model.UpstreamActive && !s.gone() && now.Sub(l.at) < loadLife && l.Accept &&
 		l.Generation == svc.generation && l.Incarnation == m.cfg.Self.Incarnation && int(l.FreeFlows) > l.assigned
@@ -210,7 +210,7 @@
 		m.accept(now, svc, k)
 		return append(out, Action{Kind: ActionDeliver, Packet: p})
 	}
-	if s := svc.seat(to); s != nil {
+	if s := svc.memberOf(to); s != nil {
 		s.load.assigned++
 	}
 	h := halfOpen{record: redirectTo(to), since: seconds(now)}
@@ -248,7 +248,7 @@
 	if svc.floor[b] > svc.generation {
 		return m.unknown(now, svc, k, b, p, noPeer, out) // promised to a newer home
 	}
-	if s := svc.seat(to); s == nil || s.excused(now, true) {
+	if s := svc.memberOf(to); s == nil || s.excused(now, true) {
 		m.halfOpen.delete(k)
 		return m.unknown(now, svc, k, b, p, to, out)
 	}
@@ -343,7 +343,7 @@
 func (m *machine) sendLoad(now time.Time, out []Action) []Action {
 	peers := 0
 	for _, svc := range m.byIndex {
-		peers += len(svc.seats)
+		peers += len(svc.members)
 	}
 	interval := max(loadInterval, time.Duration(peers)*time.Second/loadBudget)
 	if now.Sub(m.loadAt) < interval {
@@ -355,10 +355,10 @@
 	}
 	m.wasCold = m.local.Cold
 	for _, svc := range m.byIndex {
-		if svc.cfg == nil || !svc.member {
+		if svc.cfg == nil || !svc.carried {
 			continue
 		}
-		for _, s := range svc.seats {
+		for _, s := range svc.members {
 			if !s.former {
 				out = m.send(s.peer, m.loadMessage(svc, s), out)
 			}
@@ -367,7 +367,7 @@
 	return out
 }
 
-func (m *machine) loadMessage(svc *service, s *seat) Load {
+func (m *machine) loadMessage(svc *service, s *member) Load {
 	return Load{
 		Service: svc.id, Generation: svc.generation, Incarnation: m.byPeer[s.peer].incarnation,
 		Flows:     uint32(svc.flows + svc.halfOpen),
@@ -381,7 +381,7 @@
 	if svc == nil {
 		return
 	}
-	s := svc.seat(from.index)
+	s := svc.memberOf(from.index)
 	if s == nil {
 		return
 	}
@@ -389,5 +389,5 @@
 	if s.load.Cold && !msg.Cold {
 		warmAt = now
 	}
-	s.load = seatLoad{Load: msg, at: now, warmAt: warmAt}
+	s.load = memberLoad{Load: msg, at: now, warmAt: warmAt}
 }
--- a/internal/flow/claim.go
+++ b/internal/flow/claim.go
@@ -101,7 +101,7 @@
 
 // mustAsk reports whether a member that could own the flow has neither sealed the bucket nor answered.
 func (m *machine) mustAsk(now time.Time, svc *service, b uint32, syn bool, free []uint16) bool {
-	for _, s := range svc.seats {
+	for _, s := range svc.members {
 		if svc.missing(s, b) && !s.excused(now, syn) && !slices.Contains(free, s.peer) {
 			return true
 		}
@@ -141,7 +141,7 @@
 // ask sends the query to the members that have not answered.
 func (m *machine) ask(now time.Time, c *claim, out []Action) []Action {
 	c.asked = now
-	for _, s := range c.service.seats {
+	for _, s := range c.service.members {
 		if c.service.missing(s, c.bucket) && !s.excused(now, false) && !slices.Contains(c.free, s.peer) {
 			out = m.send(s.peer, Query{
 				Service: c.service.id, Generation: c.generation, Callers: []netip.AddrPort{c.key.caller()},
@@ -232,7 +232,7 @@
 
 // onlyLost reports whether every member that could still own the flow is lost.
 func (m *machine) onlyLost(c *claim) bool {
-	for _, s := range c.service.seats {
+	for _, s := range c.service.members {
 		if c.service.missing(s, c.bucket) && !s.gone() && !slices.Contains(c.free, s.peer) {
 			return false
 		}
@@ -250,7 +250,7 @@
 			continue
 		}
 		m.claims.held--
-		for _, s := range c.service.seats {
+		for _, s := range c.service.members {
 			if c.service.missing(s, c.bucket) && !s.excused(now, false) && !slices.Contains(c.free, s.peer) {
 				out = m.forward(c.service, s.peer, p, out)
 			}
@@ -352,8 +352,8 @@
 	for _, caller := range msg.Owned {
 		k, b := pack(svc.index, caller), svc.bucket(caller)
 		if svc.homes[b] == selfPeer && msg.Generation >= svc.since[b] && !msg.Audit {
-			out = m.yield(svc, svc.seat(from.index), k, out)
-			m.recordOwner(svc, svc.seat(from.index), k, b, from.index)
+			out = m.yield(svc, svc.memberOf(from.index), k, out)
+			m.recordOwner(svc, svc.memberOf(from.index), k, b, from.index)
 			out = m.settleKey(now, svc, k, out)
 		}
 	}
@@ -433,7 +433,7 @@
 	if svc.cfg == nil || svc.homes[svc.bucket(f.key.caller())] != selfPeer {
 		return false
 	}
-	if svc.seat(f.peer) == nil && m.snapshot.Upstreams[m.byPeer[f.peer].host] == nil {
+	if svc.memberOf(f.peer) == nil && m.snapshot.Upstreams[m.byPeer[f.peer].host] == nil {
 		m.deleteRedirect(f.key, f.peer)
 		return false
 	}
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -101,7 +101,7 @@
 	}
 	m.deleteRedirectsTo(p.index, func(packed) bool { return true })
 	for _, svc := range m.byIndex {
-		if svc.seat(p.index) != nil {
+		if svc.memberOf(p.index) != nil {
 			m.registerAll(svc, func(b uint32) bool { return svc.homes[b] == p.index })
 		}
 	}
--- a/internal/flow/register.go
+++ b/internal/flow/register.go
@@ -63,14 +63,14 @@
 
 // resetSessions forgets queues and seals. Seals are sent again after every change of generation.
 func (m *machine) resetSessions(svc *service) {
-	for _, s := range svc.seats {
+	for _, s := range svc.members {
 		s.session = session{}
 	}
-	if !svc.member && svc.flows+svc.halfOpen == 0 {
+	if !svc.carried && svc.flows+svc.halfOpen == 0 {
 		return
 	}
 	for _, home := range svc.homes {
-		if s := svc.seat(home); s != nil {
+		if s := svc.memberOf(home); s != nil {
 			s.session.active = true
 		}
 	}
@@ -81,14 +81,14 @@
 	if svc.cfg == nil {
 		return
 	}
-	if s := svc.seat(svc.homes[svc.bucket(k.caller())]); s != nil {
+	if s := svc.memberOf(svc.homes[svc.bucket(k.caller())]); s != nil {
 		s.session.active = true
 		s.session.queue = append(s.session.queue, k)
 	}
 }
 
 // pump sends or retransmits the session's Register.
-func (m *machine) pump(now time.Time, svc *service, s *seat, out []Action) []Action {
+func (m *machine) pump(now time.Time, svc *service, s *member, out []Action) []Action {
 	x := &s.session
 	home := m.byPeer[s.peer]
 	if !x.active || svc.cfg == nil || home.incarnation == 0 {
@@ -114,7 +114,7 @@
 }
 
 // fillInflight moves flows that are still owned and still belong to the home out of the queue, and returns its rest.
-func (m *machine) fillInflight(svc *service, s *seat, queue []packed) []packed {
+func (m *machine) fillInflight(svc *service, s *member, queue []packed) []packed {
 	s.session.inflight = s.session.inflight[:0]
 	for len(queue) > 0 && len(s.session.inflight) < MaxCallers {
 		k := queue[0]
@@ -129,7 +129,7 @@
 	return queue
 }
 
-func (m *machine) sendRegister(now time.Time, svc *service, s *seat, out []Action) []Action {
+func (m *machine) sendRegister(now time.Time, svc *service, s *member, out []Action) []Action {
 	x := &s.session
 	x.sentAt = now
 	callers := make([]netip.AddrPort, len(x.inflight))
@@ -154,7 +154,7 @@
 	if msg.HomeIncarnation != m.cfg.Self.Incarnation || !from.hear(msg.Sequence) {
 		return out
 	}
-	seat := svc.seat(from.index)
+	member := svc.memberOf(from.index)
 	var rejected []netip.AddrPort
 	for _, caller := range msg.Callers {
 		k := pack(svc.index, caller)
@@ -162,11 +162,11 @@
 		if svc.homes[b] != selfPeer {
 			continue
 		}
-		if seat != nil && seat.returned && m.awaitsOthers(now, svc, b) {
+		if member != nil && member.returned && m.awaitsOthers(now, svc, b) {
 			return out
 		}
-		out = m.yield(svc, seat, k, out)
-		ok, full := m.recordOwner(svc, seat, k, b, from.index)
+		out = m.yield(svc, member, k, out)
+		ok, full := m.recordOwner(svc, member, k, b, from.index)
 		if full {
 			return out
 		}
@@ -175,8 +175,8 @@
 		}
 		out = m.settleKey(now, svc, k, out)
 	}
-	if msg.Seal && seat != nil && msg.Generation > seat.sealed {
-		seat.sealed, seat.returned = msg.Generation, false
+	if msg.Seal && member != nil && msg.Generation > member.sealed {
+		member.sealed, member.returned = msg.Generation, false
 		out = m.settleAll(now, svc, out)
 	}
 	return m.send(from.index, RegisterAck{
@@ -196,13 +196,13 @@
 // awaitsOthers reports whether members that were never lost have still to seal the bucket. Until then a flow of a returned
 // member may belong to one of them.
 func (m *machine) awaitsOthers(now time.Time, svc *service, b uint32) bool {
-	return slices.ContainsFunc(svc.seats, func(s *seat) bool {
+	return slices.ContainsFunc(svc.members, func(s *member) bool {
 		return !s.returned && svc.missing(s, b) && !s.excused(now, true)
 	})
 }
 
 // yield ends an own flow that another member owns too, when this agent may have been the lost one.
-func (m *machine) yield(svc *service, from *seat, k packed, out []Action) []Action {
+func (m *machine) yield(svc *service, from *member, k packed, out []Action) []Action {
 	r, ok := m.flows.get(k)
 	if h, half := m.halfOpen.get(k); !ok && half {
 		r, ok = h.record, true
@@ -216,13 +216,13 @@
 // recordOwner installs a redirect to a member that says it owns the flow. Another record of the flow is outdated when it
 // was neither made by this home's own decision nor confirmed since the agent became the home. Otherwise the member was
 // lost and the flow was accepted elsewhere in the meantime; then the newer owner keeps it.
-func (m *machine) recordOwner(svc *service, from *seat, k packed, b uint32, owner uint16) (ok, full bool) {
+func (m *machine) recordOwner(svc *service, from *member, k packed, b uint32, owner uint16) (ok, full bool) {
 	if m.owns(k) {
 		return false, false
 	}
 	if other, known := m.redirect(k); known && other != owner {
 		_, pending := m.halfOpen.get(k)
-		s := svc.seat(other)
+		s := svc.memberOf(other)
 		confirmed := s != nil && !s.gone() && !svc.missing(s, b)
 		if pending || confirmed || from != nil && from.returned {
 			return false, false
@@ -240,7 +240,7 @@
 	if msg.Generation > svc.generation {
 		out = m.fetch(now, out)
 	}
-	s := svc.seat(from.index)
+	s := svc.memberOf(from.index)
 	if s == nil || !s.session.waiting || msg.Sequence < s.session.first || msg.Sequence > m.sequence || s.session.home != from.incarnation {
 		return out
 	}
--- a/internal/flow/service.go
+++ b/internal/flow/service.go
@@ -27,7 +27,7 @@
 	cfg        *model.Service // nil when this host does not carry the service and owns none of its flows
 	seed       uint64
 	generation model.Revision
-	member     bool // the host is in cfg.Members
+	carried    bool // the host is in cfg.Members
 
 	homes [routing.Buckets]uint16 // peer index or noPeer
 	// since is the generation from which the home of a bucket is known to be the same without interruption.
@@ -36,14 +36,14 @@
 	floor     [routing.Buckets]model.Revision
 	floorHome [routing.Buckets]uint16
 
-	seats    []*seat // other members and recently removed ones, by host
-	flows    int     // owned and established
-	halfOpen int     // owned and half-open
+	members  []*member // other members and recently removed ones, by host
+	flows    int       // owned and established
+	halfOpen int       // owned and half-open
 	purgeAt  time.Time
 }
 
-// seat is another agent's part in a service.
-type seat struct {
+// member is what the agent knows of another member of a service.
+type member struct {
 	peer   uint16
 	host   model.HostID
 	state  model.UpstreamState
@@ -59,20 +59,20 @@
 	sealed model.Revision
 
 	session session
-	load    seatLoad
+	load    memberLoad
 }
 
-func (s *seat) gone() bool { return !s.lostAt.IsZero() }
+func (s *member) gone() bool { return !s.lostAt.IsZero() }
 
 // goneFor reports whether the member has been lost for at least d.
-func (s *seat) goneFor(now time.Time, d time.Duration) bool {
+func (s *member) goneFor(now time.Time, d time.Duration) bool {
 	return s.gone() && now.Sub(s.lostAt) >= d
 }
 
 func (svc *service) bucket(caller netip.AddrPort) uint32 { return routing.Bucket(svc.seed, caller) }
 
-func (svc *service) seat(peer uint16) *seat {
-	for _, s := range svc.seats {
+func (svc *service) memberOf(peer uint16) *member {
+	for _, s := range svc.members {
 		if s.peer == peer {
 			return s
 		}
@@ -80,11 +80,11 @@
 	return nil
 }
 
-// missing reports whether the bucket's home still needs the member's word about a flow that it does not know.
-func (svc *service) missing(s *seat, b uint32) bool { return s.sealed < svc.since[b] }
+// missing reports whether the bucket's home still needs the member's seal, or its answer to a query, before it decides about an unknown flow.
+func (svc *service) missing(s *member, b uint32) bool { return s.sealed < svc.since[b] }
 
-// excused reports whether the home may act without the word of a member that is lost.
-func (s *seat) excused(now time.Time, syn bool) bool {
+// excused reports whether the home may act without the seal or answer of a member that is lost.
+func (s *member) excused(now time.Time, syn bool) bool {
 	if syn {
 		return s.goneFor(now, lostSYNGrace)
 	}
@@ -98,7 +98,7 @@
 	}
 	n := 0
 	for b, home := range svc.homes {
-		if home == selfPeer && slices.ContainsFunc(svc.seats, func(s *seat) bool { return svc.missing(s, uint32(b)) }) {
+		if home == selfPeer && slices.ContainsFunc(svc.members, func(s *member) bool { return svc.missing(s, uint32(b)) }) {
 			n++
 		}
 	}
@@ -139,7 +139,7 @@
 
 // withdraw stops acting for a service that no longer exists. Its open flows are still delivered.
 func (m *machine) withdraw(svc *service) {
-	svc.cfg, svc.member, svc.seats = nil, false, nil
+	svc.cfg, svc.carried, svc.members = nil, false, nil
 	m.deleteRedirects(func(k packed, _ record) bool { return k.service() == svc.index })
 }
 
@@ -166,20 +166,20 @@
 		}
 	}
 	fresh := svc.cfg == nil
-	wasMember := svc.member
+	wasMember := svc.carried
 	wasLost := !fresh && stateOf(svc.cfg, m.cfg.Self.Host) == model.UpstreamLost
 	unchanged := !fresh && svc.generation == cfg.Generation && slices.Equal(svc.cfg.Members, cfg.Members)
 	seen := contiguous(previous, cfg)
 	created := fresh && seen && previous.Services[cfg.ID] == nil
 
-	_, svc.member = cfg.Member(m.cfg.Self.Host)
+	_, svc.carried = cfg.Member(m.cfg.Self.Host)
 	svc.cfg, svc.seed, svc.generation = cfg, cfg.Seed, cfg.Generation
-	m.updateSeats(now, svc, seen && !fresh || created)
+	m.updateMembers(now, svc, seen && !fresh || created)
 	moved := m.updateHomes(now, svc, seen && !fresh)
 	if unchanged && moved == nil {
 		return
 	}
-	rejoined := svc.member && (!wasMember || wasLost)
+	rejoined := svc.carried && (!wasMember || wasLost)
 	m.registerAll(svc, func(b uint32) bool { return rejoined || moved != nil && moved[b] })
 }
 
@@ -202,31 +202,31 @@
 	return svc
 }
 
-// updateSeats brings the seats in line with the configuration. When the agent has seen every generation, a member that
+// updateMembers brings the members in line with the configuration. When the agent has seen every generation, a member that
 // joined in this one cannot have acted earlier and starts sealed.
-func (m *machine) updateSeats(now time.Time, svc *service, seen bool) {
-	for _, s := range svc.seats {
+func (m *machine) updateMembers(now time.Time, svc *service, seen bool) {
+	for _, s := range svc.members {
 		if _, ok := svc.cfg.Member(s.host); !ok && !s.former {
 			s.former = true
 			s.markLost(now)
 		}
 	}
-	for _, member := range svc.cfg.Members {
-		p := m.peer(member.Host)
+	for _, configured := range svc.cfg.Members {
+		p := m.peer(configured.Host)
 		if p == nil || p.index == selfPeer {
 			continue
 		}
-		s := svc.seat(p.index)
+		s := svc.memberOf(p.index)
 		if s == nil {
-			s = &seat{peer: p.index, host: p.host}
+			s = &member{peer: p.index, host: p.host}
 			if seen {
 				s.sealed = svc.generation
 			}
-			svc.seats = append(svc.seats, s)
+			svc.members = append(svc.members, s)
 		}
-		s.update(now, member.State, m.weight(member.Host))
+		s.update(now, configured.State, m.weight(configured.Host))
 	}
-	sort.Slice(svc.seats, func(i, j int) bool { return svc.seats[i].host < svc.seats[j].host })
+	sort.Slice(svc.members, func(i, j int) bool { return svc.members[i].host < svc.members[j].host })
 }
 
 func (m *machine) weight(host model.HostID) int {
@@ -236,7 +236,7 @@
 	return 1
 }
 
-func (s *seat) update(now time.Time, state model.UpstreamState, weight int) {
+func (s *member) update(now time.Time, state model.UpstreamState, weight int) {
 	s.state, s.weight, s.former = state, weight, false
 	if state == model.UpstreamLost {
 		s.markLost(now)
@@ -250,7 +250,7 @@
 	}
 }
 
-func (s *seat) markLost(now time.Time) {
+func (s *member) markLost(now time.Time) {
 	if !s.gone() {
 		s.lostAt = now
 	}
@@ -307,8 +307,8 @@
 // expireSeats forgets flows of members that have been lost for lostGrace, members that were removed, and redirects of
 // buckets that this agent is no longer the home of.
 func (m *machine) expireSeats(now time.Time, svc *service) {
-	kept := svc.seats[:0]
-	for _, s := range svc.seats {
+	kept := svc.members[:0]
+	for _, s := range svc.members {
 		if s.goneFor(now, lostGrace) && !s.swept {
 			s.swept = true
 			m.sweepLost(svc, s)
@@ -317,8 +317,8 @@
 			kept = append(kept, s)
 		}
 	}
-	clear(svc.seats[len(kept):])
-	svc.seats = kept
+	clear(svc.members[len(kept):])
+	svc.members = kept
 	if !svc.purgeAt.IsZero() && !now.Before(svc.purgeAt) {
 		svc.purgeAt = time.Time{}
 		m.deleteRedirects(func(k packed, _ record) bool {
@@ -328,7 +328,7 @@
 }
 
 // sweepLost deletes the redirects to a member that is lost. A removed member keeps its flows while its host is known.
-func (m *machine) sweepLost(svc *service, s *seat) {
+func (m *machine) sweepLost(svc *service, s *member) {
 	if s.former && m.snapshot.Upstreams[s.host] != nil {
 		return
 	}
