Remove the candidates from the routing header

Cause: entry VMs put up to 4 candidate hosts into each packet, and agents looked them up and passed them to the flow machine, which never read them. A packet goes to the home of its bucket, and homes find owners by redirects, seals and queries.

Change: the header loses the candidates option and flow.Packet its field; agents lose the lookup per packet and its cache. Entry VMs share one route per home. The routing table stores only the home of each bucket and finds it as a minimum over the members that may be homes instead of sorting all of them. Option type 0x82 is not reused. A receiver of this version therefore drops packets of an earlier entry VM that carry it (PS2001), so agents and entry VMs of both versions do not work together.

--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// forward sends a packet to another agent with the candidates that it came with. The machine has counted the hop.
+// forward sends a packet to another agent, under the generation that the machine gave it. The machine has counted the hop.
 func (l *packetLoop) forward(to model.HostID, p *flow.Packet) {
 	addr, ok := l.view.addr(to)
 	if !ok {
@@ -75,10 +75,6 @@
 		header.Assigner = tunnel.TagOf(p.Assigner)
 		header.Assignment = p.Assignment
 	}
-	for _, host := range p.Candidates[:min(len(p.Candidates), len(header.Candidates))] {
-		header.Candidates[header.Count] = tunnel.TagOf(host)
-		header.Count++
-	}
 	end := tunnel.MaxHeader + copy(l.buf[tunnel.MaxHeader:], p.Raw)
 	start := l.codec.Seal(l.buf[:end], tunnel.MaxHeader, &header)
 	if _, err := l.agent.conns[0].WriteToUDPAddrPort(l.buf[start:end], addr); err != nil {
--- a/internal/agent/packets.go
+++ b/internal/agent/packets.go
@@ -174,7 +174,6 @@
 		Generation: in.header.Generation,
 		Hops:       in.header.Hops,
 		Assigned:   in.header.Assigned,
-		Candidates: l.view.candidates(&in.header),
 		Raw:        in.payload,
 	}
 	if packet.Assigned {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -14,7 +14,7 @@
 	services map[netip.AddrPort]*serviceRoutes
 }
 
-// serviceRoutes holds the prepared routing headers of a service. Buckets with the same candidates share one route.
+// serviceRoutes holds the prepared routes of a service. Buckets with the same home share one route.
 type serviceRoutes struct {
 	seed    uint64
 	buckets [routing.Buckets]*route
@@ -40,25 +40,21 @@
 // buildRoutes prepares the routes of one service.
 func buildRoutes(s *model.Snapshot, t *routing.Table, svc *model.Service) *serviceRoutes {
 	r := &serviceRoutes{seed: svc.Seed}
-	shared := map[[routing.MaxCandidates]tunnel.HostTag]*route{}
+	header := tunnel.Header{Service: svc.ID, Generation: svc.Generation}
+	shared := map[model.HostID]*route{}
 	for bucket := range r.buckets {
-		hosts := t.Candidates(svc.ID, uint32(bucket))
-		if len(hosts) == 0 {
+		home, ok := t.Home(svc.ID, uint32(bucket))
+		if !ok {
 			continue
 		}
-		home := s.Upstreams[hosts[0]]
-		if home == nil {
-			continue
-		}
-		header := tunnel.Header{Service: svc.ID, Generation: svc.Generation}
-		for _, h := range hosts[:min(len(hosts), routing.MaxCandidates)] {
-			header.Candidates[header.Count] = tunnel.TagOf(h)
-			header.Count++
-		}
-		known := shared[header.Candidates]
+		known := shared[home]
 		if known == nil {
-			known = &route{header: header, to: home.Tunnel}
-			shared[header.Candidates] = known
+			up := s.Upstreams[home]
+			if up == nil {
+				continue
+			}
+			known = &route{header: header, to: up.Tunnel}
+			shared[home] = known
 		}
 		r.buckets[bucket] = known
 	}
--- a/internal/flow/claim.go
+++ b/internal/flow/claim.go
@@ -75,7 +75,6 @@
 // clone copies what the caller of Packet may reuse.
 func clone(p Packet) Packet {
 	p.Raw = append([]byte(nil), p.Raw...)
-	p.Candidates = append([]model.HostID(nil), p.Candidates...)
 	return p
 }
 
--- a/internal/flow/types.go
+++ b/internal/flow/types.go
@@ -32,8 +32,7 @@
 	// Assignment identifies the runs of the assigner and of the assignee (see Assignment), so that a copy delayed
 	// beyond a restart of either is refused. It is set when Assigned and must be carried unchanged by the tunnel.
 	Assignment uint64
-	Candidates []model.HostID // in the order of the routing header
-	Raw        []byte         // caller's IP packet
+	Raw        []byte // caller's IP packet
 }
 
 // ActionKind says what an adapter has to do.
--- a/internal/routing/rank.go
+++ b/internal/routing/rank.go
@@ -10,21 +10,20 @@
 	"github.com/plantainseam/plantainseam/internal/model"
 )
 
-// serviceTable holds the buckets of one service. Buckets share candidate lists, because a service with n active
-// upstreams has at most n*(n-1) of them; one list per bucket would need 20 MB for 1,100 services.
+// serviceTable holds the homes of one service. They are stored as indexes of 2 bytes, because host names would need 16
+// bytes per bucket, 4.5 MB for 1,100 services.
 type serviceTable struct {
 	seed    uint64
 	members []model.Member
 	weights []int // slots of each member
 
 	hasHome bool
-	lists   [][]model.HostID
-	list    [Buckets]uint16 // index into lists
+	homes   [Buckets]uint16 // index into members, valid if hasHome
 }
 
-// Candidates returns the candidates of a bucket.
-func (t *serviceTable) Candidates(bucket uint32) []model.HostID {
-	return t.lists[t.list[bucket%Buckets]]
+// home returns the home of a bucket. The table must have homes.
+func (t *serviceTable) home(bucket uint32) model.HostID {
+	return t.members[t.homes[bucket%Buckets]].Host
 }
 
 // matches reports whether the table was built from the same inputs.
@@ -45,101 +44,51 @@
 	return weights
 }
 
-// scored is a member with its rendezvous score in one bucket; a lower cost ranks higher.
-type scored struct {
-	member int
-	cost   uint64
-}
-
-// rank builds the table of one service.
+// rank builds the table of one service. The home of a bucket is the eligible member with the lowest cost. Equal costs are
+// ordered by host, so that every process ranks them alike.
 func rank(svc *model.Service, weights []int) *serviceTable {
 	t := &serviceTable{seed: svc.Seed, members: svc.Members, weights: weights}
-	hashes := make([]uint64, len(svc.Members))
-	for i, m := range svc.Members {
-		hashes[i] = xxhash.Sum64String(string(m.Host))
-		t.hasHome = t.hasHome || m.State == model.UpstreamActive || m.State == model.UpstreamDraining
+	members := eligible(svc.Members)
+	if len(members) == 0 {
+		return t
 	}
+	t.hasHome = true
+	hashes := make([]uint64, len(members))
+	for i, m := range members {
+		hashes[i] = xxhash.Sum64String(string(svc.Members[m].Host))
+	}
+	// The weights of all members decide how costs are computed. If only those of the eligible members did, costs that
+	// tie in one form alone could move a bucket between hosts that did not change.
 	equal := equalWeights(weights)
-	index := map[[MaxCandidates]int16]uint16{}
-	order := make([]scored, len(svc.Members))
-	for b := range t.list {
-		for i := range order {
-			order[i] = scored{member: i, cost: cost(svc.Seed, hashes[i], uint32(b), weights[i], equal)}
-		}
-		slices.SortFunc(order, t.compare)
-		key := t.pick(order)
-		n, ok := index[key]
-		if !ok {
-			n = uint16(len(t.lists))
-			index[key] = n
-			t.lists = append(t.lists, t.hosts(key))
+	for b := range t.homes {
+		var home int
+		var lowest uint64
+		for i, m := range members {
+			c := cost(svc.Seed, hashes[i], uint32(b), weights[m], equal)
+			if i == 0 || c < lowest || c == lowest && svc.Members[m].Host < svc.Members[home].Host {
+				home, lowest = m, c
+			}
 		}
-		t.list[b] = n
+		t.homes[b] = uint16(home)
 	}
 	return t
 }
 
-// compare orders by cost. Equal costs are ordered by host, so that every process ranks them alike.
-func (t *serviceTable) compare(a, b scored) int {
-	switch {
-	case a.cost < b.cost:
-		return -1
-	case a.cost > b.cost:
-		return 1
-	case t.members[a.member].Host < t.members[b.member].Host:
-		return -1
-	}
-	return 1
-}
-
-// pick selects the candidates of one bucket as member numbers plus one; zero means none.
-func (t *serviceTable) pick(order []scored) (key [MaxCandidates]int16) {
-	home := t.homeOf(order)
-	n := 0
-	add := func(i int) {
-		if n < MaxCandidates {
-			key[n] = int16(order[i].member) + 1
-			n++
-		}
-	}
-	if home < len(order) {
-		add(home)
-	}
-	for i := 0; i < home; i++ {
-		add(i)
-	}
-	for i := home + 1; i < len(order); i++ {
-		if t.state(order[i]) == model.UpstreamActive {
-			add(i)
-			break
-		}
-	}
-	return key
-}
-
-// homeOf returns the position of the home, or len(order) when there is none.
-func (t *serviceTable) homeOf(order []scored) int {
+// eligible returns the numbers of the members that may be homes: the active ones or, if there are none, the draining
+// ones.
+func eligible(members []model.Member) []int {
 	for _, state := range []model.UpstreamState{model.UpstreamActive, model.UpstreamDraining} {
-		for i, o := range order {
-			if t.state(o) == state {
-				return i
+		var found []int
+		for i, m := range members {
+			if m.State == state {
+				found = append(found, i)
 			}
 		}
-	}
-	return len(order)
-}
-
-func (t *serviceTable) state(o scored) model.UpstreamState { return t.members[o.member].State }
-
-// hosts converts a key of pick.
-func (t *serviceTable) hosts(key [MaxCandidates]int16) []model.HostID {
-	var hosts []model.HostID
-	for _, m := range key {
-		if m != 0 {
-			hosts = append(hosts, t.members[m-1].Host)
+		if len(found) > 0 {
+			return found
 		}
 	}
-	return hosts
+	return nil
 }
 
 func equalWeights(weights []int) bool {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -14,9 +14,6 @@
 // Buckets is the number of buckets of a service.
 const Buckets = 256
 
-// MaxCandidates bounds the candidates in a routing header.
-const MaxCandidates = 4
-
 // Table holds the buckets of every service of one snapshot. It is immutable after Build.
 type Table struct {
 	revision   model.Revision
@@ -66,16 +63,7 @@
 	if svc == nil || !svc.hasHome {
 		return "", false
 	}
-	return svc.Candidates(bucket)[0], true
-}
-
-// Candidates returns the upstreams of a routing header, home first. The slice is shared and must not be modified.
-func (t *Table) Candidates(id model.ServiceID, bucket uint32) []model.HostID {
-	svc := t.services[id]
-	if svc == nil {
-		return nil
-	}
-	return svc.Candidates(bucket)
+	return svc.home(bucket), true
 }
 
 // Bucket returns the bucket of a caller's flow in a service with the given seed. IPv4-mapped IPv6 addresses hash as
--- a/internal/tunnel/fuzz_test.go
+++ b/internal/tunnel/fuzz_test.go
@@ -1,6 +1,7 @@
 package tunnel_test
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/google/gopacket/layers"
@@ -67,6 +68,7 @@
 	outer := seal(c, fullHeader(), packet)
 	f.Add(outer[tunnel.BaseLen : len(outer)-len(packet)-24])
 	f.Add([]byte{0xFF, 0x53, 0x81, 0x1F})
+	f.Add(append(bytes.Clone(outer[tunnel.BaseLen:len(outer)-len(packet)-24]), 0xFF, 0x53, 0x82, 1, 0, 0, 0, 0))
 	f.Fuzz(func(t *testing.T, options []byte) {
 		var h tunnel.Header
 		if !tunnel.DecodeRouting(options, &h) {
--- a/internal/tunnel/seal.go
+++ b/internal/tunnel/seal.go
@@ -7,7 +7,6 @@
 
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
-	"github.com/plantainseam/plantainseam/internal/routing"
 )
 
 // flagAssigned is the bit of the route option that marks a flow assigned by its home.
@@ -27,9 +26,6 @@
 // packet. At least MaxHeader bytes must be free before at.
 func (c *Codec) Seal(buf []byte, at int, h *Header) int {
 	length := routeOption + macOption
-	if h.Count > 0 {
-		length += optionHeaderLen + tagLen*int(h.Count)
-	}
 	if h.Assigned {
 		length += assignmentOption
 	}
@@ -38,13 +34,6 @@
 	off := start + BaseLen
 	putRoute(putOption(buf[off:], kindRoute, routeData), h)
 	off += routeOption
-	if h.Count > 0 {
-		data := putOption(buf[off:], kindCandidates, tagLen*int(h.Count))
-		for i := range int(h.Count) {
-			binary.BigEndian.PutUint64(data[tagLen*i:], uint64(h.Candidates[i]))
-		}
-		off += optionHeaderLen + len(data)
-	}
 	if h.Assigned {
 		data := putOption(buf[off:], kindAssignment, assignmentData)
 		binary.BigEndian.PutUint64(data, uint64(h.Assigner))
@@ -124,42 +113,29 @@
 
 // decodeRouting reads the options of a verified packet. Each option may occur once; an unknown critical one is an error.
 func decodeRouting(options []byte, h *Header) bool {
-	seen := [kindAssignment - kindRoute + 1]bool{}
+	var route, assignment bool
 	for rest := options; len(rest) > 0; {
 		o, next, ok := nextOption(rest)
 		if !ok {
 			return false
 		}
 		rest = next
-		if o.class != optionClass || o.kind < kindRoute || o.kind > kindAssignment {
-			if o.kind&criticalBit != 0 {
+		switch {
+		case o.class == optionClass && o.kind == kindRoute:
+			if route || !decodeRoute(o.data, h) {
 				return false
 			}
-			continue
-		}
-		index := o.kind - kindRoute
-		if seen[index] || !decodeOption(o, h) {
+			route = true
+		case o.class == optionClass && o.kind == kindAssignment:
+			if assignment || !decodeAssignment(o.data, h) {
+				return false
+			}
+			assignment = true
+		case o.kind&criticalBit != 0:
 			return false
 		}
-		seen[index] = true
 	}
-	return seen[0] && seen[kindAssignment-kindRoute] == h.Assigned
-}
-
-// decodeOption reads one known option.
-func decodeOption(o option, h *Header) bool {
-	switch o.kind {
-	case kindRoute:
-		return decodeRoute(o.data, h)
-	case kindCandidates:
-		return decodeCandidates(o.data, h)
-	}
-	if len(o.data) != assignmentData {
-		return false
-	}
-	h.Assigner = HostTag(binary.BigEndian.Uint64(o.data))
-	h.Assignment = binary.BigEndian.Uint64(o.data[tagLen:])
-	return true
+	return route && assignment == h.Assigned
 }
 
 // putRoute writes the data of the route option.
@@ -186,15 +162,12 @@
 	return true
 }
 
-// decodeCandidates reads the data of the candidates option.
-func decodeCandidates(b []byte, h *Header) bool {
-	count := len(b) / tagLen
-	if len(b)%tagLen != 0 || count == 0 || count > routing.MaxCandidates {
+// decodeAssignment reads the data of the assignment option.
+func decodeAssignment(b []byte, h *Header) bool {
+	if len(b) != assignmentData {
 		return false
 	}
-	for i := range count {
-		h.Candidates[i] = HostTag(binary.BigEndian.Uint64(b[tagLen*i:]))
-	}
-	h.Count = uint8(count)
+	h.Assigner = HostTag(binary.BigEndian.Uint64(b))
+	h.Assignment = binary.BigEndian.Uint64(b[tagLen:])
 	return true
 }
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -14,7 +14,6 @@
 
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
-	"github.com/plantainseam/plantainseam/internal/routing"
 )
 
 // Protocol types of the Geneve payload.
@@ -31,7 +30,7 @@
 	MACLen  = 16 // truncated HMAC-SHA-256
 
 	// MaxHeader is the longest header written here.
-	MaxHeader = BaseLen + routeOption + candidatesOption + assignmentOption + macOption
+	MaxHeader = BaseLen + routeOption + assignmentOption + macOption
 	// MaxPlainHeader is the longest header that Geneve permits, which a fabric may send.
 	MaxPlainHeader = BaseLen + 63*4
 	// MaxOverhead adds the UDP header and an IPv6 header without extensions.
@@ -45,17 +44,16 @@
 	assignmentData   = tagLen + 8
 	macData          = 4 + MACLen
 	routeOption      = optionHeaderLen + routeData
-	candidatesOption = optionHeaderLen + tagLen*routing.MaxCandidates // with the highest number of candidates
 	assignmentOption = optionHeaderLen + assignmentData
 	macOption        = optionHeaderLen + macData
 )
 
 // Option class and types. The class is in the experimental range of RFC 8926; all types have the critical bit, so that
-// a receiver that does not know them drops the packet.
+// a receiver that does not know them drops the packet. Type 0x82 carried a list of hosts and is not reused, so that no
+// version reads another option as that list.
 const (
 	optionClass    uint16 = 0xFF53
 	kindRoute      uint8  = 0x81
-	kindCandidates uint8  = 0x82
 	kindAssignment uint8  = 0x83
 	kindMAC        uint8  = 0x8F
 
@@ -76,8 +74,6 @@
 	Assigned   bool  // the home chose the receiver as the owner of a new flow
 	Assigner   HostTag
 	Assignment uint64 // runs of assigner and assignee, set when Assigned
-	Count      uint8  // candidates in use
-	Candidates [routing.MaxCandidates]HostTag
 }
 
 // frame is a decoded outer packet. Its slices point into the packet.
