Measure announcements, changes and storms at a control VM

Change: benchmarks of announcements, configuration changes, 1,800 fetches and a returning failure domain over loopback, with and without TLS.

--- /dev/null
+++ b/internal/control/capacity_bench_test.go
@@ -0,0 +1,271 @@
+package control_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainseam/plantainseam/internal/control"
+	"github.com/plantainseam/plantainseam/internal/dissemination"
+	"github.com/plantainseam/plantainseam/internal/peer"
+	"github.com/plantainseam/plantainseam/rpc/catalogpb"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
+	"github.com/plantainseam/plantainseam/rpc/memberpb"
+)
+
+// Sizes of the target in two years.
+const (
+	targetServices = 1100
+	targetUps      = 5900
+	targetNodes    = 6670 // upstream and entry VMs
+	targetDomains  = 7
+	membersPerSvc  = 7
+)
+
+const benchLoad = time.Second // of calls in a closed loop
+
+// benchVM is the leading control VM of a one-member in-memory log, with its twirp servers on loopback.
+type benchVM struct {
+	address string
+	server  *dissemination.Server
+	state   *control.State
+	log     *replica
+}
+
+func newBenchVM(b *testing.B, credentials *peer.Credentials) *benchVM {
+	b.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := newMemLog(1, time.Now)
+	rep := l.replicas[0]
+	restoreServices(b, rep.state)
+	vm := &benchVM{server: dissemination.NewServer(), state: rep.state, log: rep}
+	key := ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+	c := control.New(control.Config{Log: rep, Members: rep, State: rep.state, Server: vm.server, SystemKey: key})
+	go c.Run(ctx)
+	mux := http.NewServeMux()
+	mux.Handle(memberpb.MembershipPathPrefix, memberpb.NewMembershipServer(control.NewMembershipServer(c)))
+	mux.Handle(configpb.ConfigurationPathPrefix, configpb.NewConfigurationServer(vm.server))
+	rules := peer.Rules{
+		memberpb.MembershipPathPrefix:    {peer.RoleEntry, peer.RoleUpstream},
+		configpb.ConfigurationPathPrefix: {peer.RoleEntry, peer.RoleUpstream},
+	}
+	web := peer.NewServer(peer.ServerOptions{Credentials: credentials, Rules: rules}, mux)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	vm.address = listener.Addr().String()
+	go func() { _ = peer.Serve(web, listener) }()
+	b.Cleanup(func() {
+		cancel()
+		_ = web.Close()
+	})
+	return vm
+}
+
+func upstreamName(i int) string { return fmt.Sprintf("host-%05d", i) }
+
+// restoreServices gives the catalog the services of the target size, without hosts.
+func restoreServices(b *testing.B, s *control.State) {
+	b.Helper()
+	state := &catalogpb.State{Revision: 1, LastService: targetServices}
+	for id := 1; id <= targetServices; id++ {
+		svc := &catalogpb.Service{
+			Id: uint32(id), Name: fmt.Sprintf("service-%04d", id), Kind: 1, Generation: 1, QueueLimit: 64,
+			Frontend: fmt.Sprintf("10.200.%d.%d:80", id/250, id%250+1),
+		}
+		for j := range membersPerSvc {
+			svc.Rights = append(svc.Rights, upstreamName((id*membersPerSvc+j)%targetUps))
+		}
+		state.Services = append(state.Services, svc)
+	}
+	raw, err := proto.Marshal(state)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := s.Restore(raw); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// carried returns the services of each upstream.
+func carried() map[int][]uint32 {
+	out := map[int][]uint32{}
+	for id := 1; id <= targetServices; id++ {
+		for j := range membersPerSvc {
+			host := (id*membersPerSvc + j) % targetUps
+			out[host] = append(out[host], uint32(id))
+		}
+	}
+	return out
+}
+
+// benchAnnouncement is that of a host with traffic: the members that it shares a service with, its load and totals. Of 6,670
+// hosts, 770 are entries.
+func benchAnnouncement(i int, services []uint32) (req *memberpb.AnnounceRequest, role peer.Role) {
+	req = &memberpb.AnnounceRequest{
+		Incarnation: 1_800_000_000_000, Revision: 1, Sequence: 1, FailureDomain: fmt.Sprintf("domain-%d", i%targetDomains),
+		Tunnel: fmt.Sprintf("10.%d.%d.%d:6081", i>>16, i>>8&255, i&255),
+		Rpc:    fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255),
+	}
+	if i%targetNodes >= targetUps {
+		req.Host, req.Entry = fmt.Sprintf("entry-%05d", i), true
+		return req, peer.RoleEntry
+	}
+	req.Host, req.Slots, req.MaxConnections, req.OpenFlows = upstreamName(i), 3, 2000, 1068
+	for _, id := range services {
+		req.Carries = append(req.Carries, fmt.Sprintf("service-%04d", id))
+		req.Loads = append(req.Loads, &memberpb.ServiceLoad{Service: id, OpenFlows: 500})
+		for _, code := range []uint32{0, 1, 2103} {
+			req.Totals = append(req.Totals, &memberpb.AccountTotal{Service: id, Unit: "flow", Code: code, Count: 123456})
+		}
+		for j := range membersPerSvc - 1 {
+			req.Reachable = append(req.Reachable, upstreamName((i+j+1)%targetUps))
+		}
+	}
+	return req, peer.RoleUpstream
+}
+
+// benchFleet is a set of announcing hosts.
+type benchFleet struct {
+	vm       *benchVM
+	hosts    []*rawHost
+	requests [][]byte
+	messages []*memberpb.AnnounceRequest
+}
+
+func newBenchFleet(b *testing.B, vm *benchVM, a *authority, n int) *benchFleet {
+	b.Helper()
+	f := &benchFleet{vm: vm}
+	services := carried()
+	for k := range n {
+		i := k * targetNodes / n // the share of entries is that of the target
+		req, role := benchAnnouncement(i, services[i])
+		h := newRawHost(b, a, req.Host, role)
+		f.hosts, f.messages = append(f.hosts, h), append(f.messages, req)
+	}
+	f.encode(b)
+	return f
+}
+
+const announcePath = memberpb.MembershipPathPrefix + "Announce"
+
+func (f *benchFleet) encode(b *testing.B) {
+	b.Helper()
+	f.requests = nil
+	for i, h := range f.hosts {
+		f.requests = append(f.requests, h.request(b, f.vm.address, announcePath, f.messages[i]))
+	}
+}
+
+// lease announces a host until it has a lease.
+func (f *benchFleet) lease(i int, h *rawHost) error {
+	for {
+		if h.conn == nil {
+			if err := h.dial(f.vm.address); err != nil {
+				return err
+			}
+		}
+		body, _, err := h.call(f.requests[i])
+		if err != nil {
+			return err
+		}
+		var res memberpb.AnnounceResponse
+		if err := proto.Unmarshal(body, &res); err != nil {
+			return err
+		}
+		if res.LeaseMs > 0 {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond) // not leading yet
+	}
+}
+
+// load announces every host in turn for a while and returns calls, bytes of one call and its processor time.
+func (f *benchFleet) load(b *testing.B) (perSecond, bytes, cpuMicros float64) {
+	b.Helper()
+	calls, wire := 0, 0
+	start, cpu := time.Now(), cpuTime()
+	for time.Since(start) < benchLoad {
+		sizes := make([]int, len(f.hosts))
+		err := eachHost(f.hosts, benchWorkers, func(i int, h *rawHost) (err error) {
+			_, sizes[i], err = h.call(f.requests[i])
+			return err
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		calls += len(f.hosts)
+		for _, n := range sizes {
+			wire += n
+		}
+	}
+	used, took := cpuTime()-cpu, time.Since(start)
+	return float64(calls) / took.Seconds(), float64(wire) / float64(calls), float64(used.Microseconds()) / float64(calls)
+}
+
+func (f *benchFleet) close() {
+	for _, h := range f.hosts {
+		h.close()
+	}
+}
+
+// BenchmarkAnnounce measures heartbeats at one leader over loopback: its rate with 32 calls in flight, and bytes,
+// processor time and memory per host. The figures hold for both ends; the baseline replaces the HTTP server by a
+// stand-in with a fixed answer.
+func BenchmarkAnnounce(b *testing.B) {
+	for _, secure := range []bool{false, true} {
+		for _, n := range []int{100, 1000, targetNodes} {
+			b.Run(fmt.Sprintf("tls=%t/hosts=%d", secure, n), func(b *testing.B) {
+				for range b.N {
+					benchAnnounce(b, secure, n)
+				}
+			})
+		}
+	}
+}
+
+func benchAnnounce(b *testing.B, secure bool, n int) {
+	var a *authority
+	if secure {
+		a = newAuthority(b)
+	}
+	credentials := a.credentials(b)
+	vm := newBenchVM(b, credentials)
+	f := newBenchFleet(b, vm, a, n)
+	defer f.close()
+	empty := memory()
+	start, cpu := time.Now(), cpuTime()
+	if err := eachHost(f.hosts, benchWorkers, f.lease); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(time.Since(start).Seconds(), "s-to-all-leased")
+	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(n), "cpu-us/first")
+	perSecond, bytes, micros := f.load(b)
+	b.ReportMetric(perSecond, "announces/s")
+	b.ReportMetric(bytes, "B/announce")
+	b.ReportMetric(micros, "cpu-us/announce")
+	b.ReportMetric((memory()-empty)/float64(n), "B/host")
+	f.close()
+	time.Sleep(time.Second) // for the server to notice
+	b.ReportMetric((memory()-empty)/float64(n), "B/host-state")
+	if n != 100 {
+		return
+	}
+	request := len(f.requests[0])
+	address := answering(b, credentials, request, []byte("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n123456"))
+	for i, h := range f.hosts {
+		f.requests[i] = f.requests[0]
+		if err := h.dial(address); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_, _, micros = f.load(b)
+	b.ReportMetric(micros, "baseline-fixed-answer-cpu-us")
+}
--- /dev/null
+++ b/internal/control/storm_bench_test.go
@@ -0,0 +1,222 @@
+package control_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plantainseam/plantainseam/internal/catalog"
+	"github.com/plantainseam/plantainseam/internal/peer"
+	"github.com/plantainseam/plantainseam/rpc/catalogpb"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
+)
+
+const (
+	fetchPath      = configpb.ConfigurationPathPrefix + "Fetch"
+	benchPollWait  = 30 * time.Second
+	benchParkTime  = 1500 * time.Millisecond // for all long polls to arrive at the server
+	benchChanges   = 3
+	restartsPerDay = 1800
+	domainHosts    = 950
+)
+
+// register puts every host of the target into the catalog, without announcements.
+func (vm *benchVM) register(b *testing.B) {
+	b.Helper()
+	services := carried()
+	var hosts []*catalogpb.Host
+	for i := range targetNodes {
+		req, _ := benchAnnouncement(i, services[i])
+		hosts = append(hosts, &catalogpb.Host{
+			Host: req.Host, Incarnation: req.Incarnation, FailureDomain: req.FailureDomain, Tunnel: req.Tunnel, Rpc: req.Rpc,
+			Entry: req.Entry, Carries: req.Carries, Slots: req.Slots, MaxConnections: req.MaxConnections,
+		})
+	}
+	vm.apply(b, &catalogpb.Command{Do: &catalogpb.Command_Announce{Announce: &catalogpb.Announce{Hosts: hosts}}})
+}
+
+func (vm *benchVM) apply(b *testing.B, cmd *catalogpb.Command) {
+	b.Helper()
+	raw, err := catalog.Encode(cmd)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := vm.log.Propose(b.Context(), raw); err != nil {
+		b.Fatal(err)
+	}
+	for vm.server.Current().Revision < vm.state.Config().Revision {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// pollers are hosts that wait for the next revision.
+type pollers struct {
+	hosts   []*rawHost
+	request []byte // of plain-text hosts the identity differs, which the server does not look at for a fetch
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	bytes   int
+	latest  *configpb.FetchResponse
+	err     error
+}
+
+// park starts a long poll of every host.
+func (p *pollers) park() {
+	p.bytes = 0
+	for _, h := range p.hosts {
+		p.group.Add(1)
+		go func() {
+			defer p.group.Done()
+			body, wire, err := h.call(p.request)
+			res := &configpb.FetchResponse{}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.bytes += wire
+			if err == nil && p.latest == nil {
+				err = proto.Unmarshal(body, res)
+				p.latest = res
+			}
+			if err != nil {
+				p.err = err
+			}
+		}()
+	}
+}
+
+// BenchmarkChange measures one configuration change, from its commit to the last of the long-polling clients of one
+// control VM, at the target sizes. Bytes are those of the answer and the next request; processor time holds for both
+// ends, without decoding at the clients.
+func BenchmarkChange(b *testing.B) {
+	for _, secure := range []bool{false, true} {
+		for _, n := range []int{100, 1000, targetNodes} {
+			b.Run(fmt.Sprintf("tls=%t/clients=%d", secure, n), func(b *testing.B) {
+				for range b.N {
+					benchChange(b, secure, n)
+				}
+			})
+		}
+	}
+}
+
+func benchChange(b *testing.B, secure bool, n int) {
+	var a *authority
+	if secure {
+		a = newAuthority(b)
+	}
+	vm := newBenchVM(b, a.credentials(b))
+	vm.register(b)
+	p := &pollers{}
+	for i := range n {
+		p.hosts = append(p.hosts, newRawHost(b, a, fmt.Sprintf("h%d", i), peer.RoleEntry))
+	}
+	err := eachHost(p.hosts, benchWorkers, func(_ int, h *rawHost) error { return h.dial(vm.address) })
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() {
+		for _, h := range p.hosts {
+			h.close()
+		}
+	}()
+	res, err := vm.server.Fetch(b.Context(), &configpb.FetchRequest{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	before := memory()
+	var took, used, parked time.Duration
+	bytes := 0
+	for i := range benchChanges {
+		since := &configpb.FetchRequest{Since: res.Revision, Digest: res.Digest, Host: "host-00000", WaitMs: uint32(benchPollWait.Milliseconds())}
+		p.request, p.latest = p.hosts[0].request(b, vm.address, fetchPath, since), nil
+		cpu := cpuTime()
+		p.park()
+		time.Sleep(benchParkTime)
+		parked += cpuTime() - cpu
+		if i == 0 {
+			b.ReportMetric((memory()-before)/float64(n), "B/client")
+		}
+		start := time.Now()
+		cpu = cpuTime()
+		vm.apply(b, lose(i*membersPerSvc))
+		p.group.Wait()
+		took += time.Since(start)
+		used += cpuTime() - cpu
+		bytes += p.bytes
+		if p.err != nil || p.latest.Delta == nil {
+			b.Fatal("no delta", p.err)
+		}
+		res = p.latest
+	}
+	b.ReportMetric(float64(took.Microseconds())/1000/benchChanges, "ms-to-all")
+	b.ReportMetric(float64(used.Microseconds())/1000/benchChanges, "cpu-ms/change")
+	b.ReportMetric(float64(parked.Microseconds())/benchChanges/float64(n), "cpu-us/poll")
+	b.ReportMetric(float64(bytes)/benchChanges/float64(n), "B/change/node")
+}
+
+// lose declares an upstream lost, which changes one host and its services.
+func lose(i int) *catalogpb.Command {
+	loss := &catalogpb.Loss{Host: upstreamName(i), Incarnation: 1_800_000_000_000, Observers: []string{"bench"}}
+	return &catalogpb.Command{Do: &catalogpb.Command_Lost{Lost: &catalogpb.DeclareLost{Hosts: []*catalogpb.Loss{loss}}}}
+}
+
+// BenchmarkRestarts measures the restarts of a day as one burst: 1,800 processes without a stored revision that dial
+// with TLS and fetch a full snapshot of the target sizes from one control VM.
+func BenchmarkRestarts(b *testing.B) {
+	for range b.N {
+		a := newAuthority(b)
+		vm := newBenchVM(b, a.credentials(b))
+		vm.register(b)
+		var hosts []*rawHost
+		for i := range restartsPerDay {
+			hosts = append(hosts, newRawHost(b, a, fmt.Sprintf("h%d", i), peer.RoleEntry))
+		}
+		request := hosts[0].request(b, vm.address, fetchPath, &configpb.FetchRequest{Host: "host-00000"})
+		sizes := make([]int, len(hosts))
+		start, cpu := time.Now(), cpuTime()
+		err := eachHost(hosts, benchWorkers, func(i int, h *rawHost) (err error) {
+			defer h.close()
+			if err := h.dial(vm.address); err != nil {
+				return err
+			}
+			_, sizes[i], err = h.call(request)
+			h.buf = nil
+			return err
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(time.Since(start).Seconds(), "s-to-all")
+		b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/1000/restartsPerDay, "cpu-ms/fetch")
+		b.ReportMetric(float64(sizes[0]), "B/fetch")
+	}
+}
+
+// BenchmarkDomainReturns measures a failure domain whose 950 hosts restart at once: new connections with TLS, new
+// incarnations, and a lease for each, at a leader that knows all hosts of the target.
+func BenchmarkDomainReturns(b *testing.B) {
+	for range b.N {
+		a := newAuthority(b)
+		vm := newBenchVM(b, a.credentials(b))
+		vm.register(b)
+		f := &benchFleet{vm: vm}
+		services := carried()
+		for i := 0; len(f.hosts) < domainHosts; i += targetDomains {
+			req, role := benchAnnouncement(i, services[i])
+			req.Incarnation++
+			f.hosts, f.messages = append(f.hosts, newRawHost(b, a, req.Host, role)), append(f.messages, req)
+		}
+		f.encode(b)
+		before := vm.state.Config().Revision
+		start, cpu := time.Now(), cpuTime()
+		if err := eachHost(f.hosts, len(f.hosts), f.lease); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(time.Since(start).Seconds(), "s-to-all-leased")
+		b.ReportMetric((cpuTime() - cpu).Seconds(), "cpu-s")
+		b.ReportMetric(float64(vm.state.Config().Revision-before), "revisions")
+		f.close()
+	}
+}
