Measure idle entries and agents at the target sizes

Change: benchmark of whole entry and upstream roles with TLS against a stand-in for the control VMs.

--- /dev/null
+++ b/internal/daemon/idle_bench_test.go
@@ -0,0 +1,384 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"path/filepath"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/plantainseam/plantainseam/internal/dissemination"
+	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/peer"
+	"github.com/plantainseam/plantainseam/internal/pki"
+	"github.com/plantainseam/plantainseam/internal/settings"
+	"github.com/plantainseam/plantainseam/rpc/configpb"
+	"github.com/plantainseam/plantainseam/rpc/memberpb"
+)
+
+// Sizes of the target in two years, and the duration of a measurement.
+const (
+	benchServices = 1100
+	benchHosts    = 5900
+	benchEntries  = 770
+	benchIdle     = 10 * time.Second // two short fetches and one long poll
+	benchChanges  = 3
+)
+
+// grantLease accepts every announcement.
+type grantLease struct{ server *dissemination.Server }
+
+func (g grantLease) Announce(context.Context, *memberpb.AnnounceRequest) (*memberpb.AnnounceResponse, error) {
+	return &memberpb.AnnounceResponse{LeaseMs: 5000, Revision: uint64(g.server.Current().Revision)}, nil
+}
+
+// idleBench is a stand-in for the control VMs, with TLS, and the nodes that it serves.
+type idleBench struct {
+	dir     string
+	server  *dissemination.Server
+	address string
+	nodes   []*process
+	bytes   atomic.Int64 // of the first node, in both directions
+	roles   []*configuration
+}
+
+func newIdleBench(b *testing.B) *idleBench {
+	b.Helper()
+	s := &idleBench{dir: b.TempDir(), server: dissemination.NewServer()}
+	if err := pki.CreateAuthority(s.dir, time.Now()); err != nil {
+		b.Fatal(err)
+	}
+	files := s.issue(b, "control", peer.RoleControl)
+	credentials, err := peer.LoadCredentials(peer.Files{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority}, time.Now)
+	if err != nil {
+		b.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(memberpb.MembershipPathPrefix, memberpb.NewMembershipServer(grantLease{s.server}))
+	mux.Handle(configpb.ConfigurationPathPrefix, configpb.NewConfigurationServer(s.server))
+	web := peer.NewServer(peer.ServerOptions{Credentials: credentials, Rules: rules}, mux)
+	l := benchListen(b)
+	s.address = l.Addr().String()
+	go func() { _ = peer.Serve(web, l) }()
+	b.Cleanup(func() { _ = web.Close() })
+	return s
+}
+
+func benchListen(b *testing.B) net.Listener {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func (s *idleBench) issue(b *testing.B, name string, role peer.Role) settings.TLS {
+	b.Helper()
+	r := pki.Request{Name: name, Roles: []string{string(role)}, Addresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	if err := pki.Issue(s.dir, r, time.Now()); err != nil {
+		b.Fatal(err)
+	}
+	base := filepath.Join(s.dir, name)
+	return settings.TLS{Certificate: base + ".pem", Key: base + "-key.pem", Authority: filepath.Join(s.dir, pki.AuthorityFile)}
+}
+
+// node returns a process; the connections of the first one are counted.
+func (s *idleBench) node(b *testing.B, name string, role peer.Role) *process {
+	b.Helper()
+	address := s.address
+	if len(s.nodes) == 0 {
+		address = s.countTCP(b)
+	}
+	servers := []settings.ControlServer{
+		{Name: "c1", RPC: netip.MustParseAddrPort(address)}, {Name: "c2", RPC: netip.MustParseAddrPort(address)},
+	}
+	backend := benchListen(b)
+	go discard(backend)
+	p, err := newProcess(&settings.Settings{
+		Host: model.HostID(name), FailureDomain: "d1", RPC: freeTCP(b), TLS: s.issue(b, name, role),
+		Control: settings.Control{Servers: servers},
+		Tunnel: settings.Tunnel{
+			Listen: freeUDP(b), Fabric: netip.MustParseAddrPort("127.0.0.1:9"), Keys: []settings.TunnelKey{key(1)},
+		},
+		Upstream: settings.Upstream{
+			Carries: []string{"service-0001"}, Backend: backend.Addr().(*net.TCPAddr).AddrPort(), Slots: 3,
+			MaxConnections: 2000, ProbeInterval: 10 * time.Second, ProbeCount: 4,
+		},
+	}, log.NewNopLogger())
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.nodes = append(s.nodes, p)
+	return p
+}
+
+func discard(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+	}
+}
+
+func freeTCP(b *testing.B) netip.AddrPort {
+	b.Helper()
+	l := benchListen(b)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func freeUDP(b *testing.B) netip.AddrPort {
+	b.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// countTCP returns the address of a relay in front of the control VM that counts bytes with TLS framing.
+func (s *idleBench) countTCP(b *testing.B) string {
+	b.Helper()
+	l := benchListen(b)
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", s.address)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go s.relay(near, far)
+			go s.relay(far, near)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (s *idleBench) relay(from, to net.Conn) {
+	defer to.Close()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		s.bytes.Add(int64(n))
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// countUDP returns the address of a relay in front of an agent that counts the tunnel's bytes.
+func (s *idleBench) countUDP(b *testing.B, to netip.AddrPort, count *atomic.Int64) netip.AddrPort {
+	b.Helper()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = conn.Close() })
+	go func() {
+		buf := make([]byte, 64<<10)
+		for {
+			n, _, err := conn.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			count.Add(int64(n))
+			_, _ = conn.WriteToUDPAddrPort(buf[:n], to)
+		}
+	}()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// targetSnapshot returns a configuration of the target sizes in which the first service has the given members.
+func targetSnapshot(members []*model.Upstream) *model.Snapshot {
+	s := model.NewSnapshot()
+	s.Revision = 1
+	addr := func(i, port int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), uint16(port))
+	}
+	for i := range benchHosts - len(members) {
+		host := model.HostID(fmt.Sprintf("host-%05d", i))
+		s.Upstreams[host] = &model.Upstream{
+			Ref: model.HostRef{Host: host, Incarnation: 1}, FailureDomain: "d2", Tunnel: addr(i, 6081), RPC: addr(i, 7000), Slots: 3, MaxConnections: 2000,
+		}
+	}
+	for i := range benchEntries {
+		host := model.HostID(fmt.Sprintf("entry-%05d", i))
+		s.Entries[host] = &model.Entry{Ref: model.HostRef{Host: host, Incarnation: 1}, FailureDomain: "d2", Tunnel: addr(i, 6081), RPC: addr(i, 7000)}
+	}
+	for id := 1; id <= benchServices; id++ {
+		svc := &model.Service{
+			ID: model.ServiceID(id), Name: fmt.Sprintf("service-%04d", id), Frontend: addr(1<<17+id, 80), Kind: model.KindStream,
+			Seed: uint64(id), Generation: 1, QueueLimit: 64,
+		}
+		for j := range 7 {
+			host := model.HostID(fmt.Sprintf("host-%05d", (id*7+j)%(benchHosts-len(members))))
+			svc.Members = append(svc.Members, model.Member{Host: host, State: model.UpstreamActive})
+		}
+		s.Services[svc.ID] = svc
+	}
+	if len(members) > 0 {
+		s.Services[1].Members = nil
+	}
+	for _, m := range members {
+		s.Upstreams[m.Ref.Host] = m
+		s.Services[1].Members = append(s.Services[1].Members, model.Member{Host: m.Ref.Host, State: model.UpstreamActive})
+	}
+	return s
+}
+
+// nextRevision changes the state of a member of one service.
+func nextRevision(s *model.Snapshot) *model.Snapshot {
+	next := s.Clone()
+	next.Revision++
+	svc := *next.Services[500]
+	svc.Members = append([]model.Member(nil), svc.Members...)
+	svc.Members[0].State = model.UpstreamActive + model.UpstreamDraining - svc.Members[0].State
+	svc.Generation = next.Revision
+	next.Services[500] = &svc
+	return next
+}
+
+func usedCPU() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func usedMemory() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// waitFor waits until every node has the newest revision in force.
+func (s *idleBench) waitFor(b *testing.B) {
+	b.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for _, c := range s.roles {
+		for c.revision() < s.server.Current().Revision {
+			if time.Now().After(deadline) {
+				b.Fatal("a node does not have the revision in force")
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// measure reports what idle nodes and configuration changes cost. Processor time contains the stand-in's share.
+func (s *idleBench) measure(b *testing.B, before float64, tunnel *atomic.Int64, snapshot *model.Snapshot) {
+	b.Helper()
+	n := float64(len(s.nodes))
+	s.waitFor(b)
+	time.Sleep(2 * time.Second) // connections and seals settle
+	b.ReportMetric((usedMemory()-before)/n/1e6, "MB/node")
+	bytes, udp, cpu := s.bytes.Load(), tunnel.Load(), usedCPU()
+	time.Sleep(benchIdle)
+	b.ReportMetric(float64(s.bytes.Load()-bytes)/benchIdle.Seconds(), "B/s")
+	b.ReportMetric(float64(tunnel.Load()-udp)/benchIdle.Seconds(), "B/s-tunnel-in")
+	b.ReportMetric((usedCPU()-cpu).Seconds()/benchIdle.Seconds()/n*100, "cpu-%")
+	cpu = usedCPU()
+	for range benchChanges {
+		snapshot = nextRevision(snapshot)
+		if err := s.server.Publish(snapshot); err != nil {
+			b.Fatal(err)
+		}
+		s.waitFor(b)
+	}
+	b.ReportMetric(float64((usedCPU()-cpu).Microseconds())/1000/benchChanges/n, "cpu-ms/change")
+}
+
+// BenchmarkIdleEntry measures entry processes without traffic at the target sizes: all of their connections to the
+// control VMs with TLS, processor time, and memory, by node.
+func BenchmarkIdleEntry(b *testing.B) {
+	for range b.N {
+		s := newIdleBench(b)
+		snapshot := targetSnapshot(nil)
+		if err := s.server.Publish(snapshot); err != nil {
+			b.Fatal(err)
+		}
+		var roles []*entryRole
+		for i := range 7 {
+			p := s.node(b, fmt.Sprintf("e%d", i), peer.RoleEntry)
+			r, err := newEntryRole(p)
+			if err != nil {
+				b.Fatal(err)
+			}
+			roles = append(roles, r)
+			s.roles = append(s.roles, r.config)
+		}
+		before := usedMemory()
+		ctx, cancel := context.WithCancel(b.Context())
+		for _, r := range roles {
+			go func() { _ = r.run(ctx) }()
+		}
+		s.measure(b, before, &atomic.Int64{}, snapshot)
+		cancel()
+	}
+}
+
+// BenchmarkIdleAgent measures upstream processes without flows at the target sizes, all members of one service.
+func BenchmarkIdleAgent(b *testing.B) {
+	for _, members := range []int{7, 64} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			for range b.N {
+				benchIdleAgents(b, members)
+			}
+		})
+	}
+}
+
+func benchIdleAgents(b *testing.B, members int) {
+	s := newIdleBench(b)
+	var roles []*upstreamRole
+	var upstreams []*model.Upstream
+	var tunnel atomic.Int64
+	for i := range members {
+		p := s.node(b, fmt.Sprintf("u%02d", i), peer.RoleUpstream)
+		r, err := newUpstreamRole(p)
+		if err != nil {
+			b.Fatal(err)
+		}
+		roles = append(roles, r)
+		s.roles = append(s.roles, r.config)
+		address := p.settings.Tunnel.Listen
+		if i == 0 {
+			address = s.countUDP(b, address, &tunnel)
+		}
+		upstreams = append(upstreams, &model.Upstream{
+			Ref: p.ref, FailureDomain: "d1", Tunnel: address, RPC: p.settings.RPC, Slots: 3, MaxConnections: 2000,
+		})
+	}
+	snapshot := targetSnapshot(upstreams)
+	if err := s.server.Publish(snapshot); err != nil {
+		b.Fatal(err)
+	}
+	before := usedMemory()
+	ctx, cancel := context.WithCancel(b.Context())
+	for _, r := range roles {
+		go func() { _ = r.run(ctx) }()
+	}
+	s.measure(b, before, &tunnel, snapshot)
+	cancel()
+}
