--- a/internal/dissemination/delta.go
+++ b/internal/dissemination/delta.go
@@ -26,6 +26,9 @@
 	current *model.Snapshot
 	digest  []byte
 	changes []changed // consecutive, oldest first
+	// full is the encoded current snapshot, nil until a caller needs it. It is shared by answers and never changed:
+	// at the target sizes it takes 9 ms to build, in which no other caller is answered.
+	full *configpb.Snapshot
 }
 
 // NewDeltaLog returns a log that holds an empty snapshot at revision zero.
@@ -56,6 +59,7 @@
 	}
 	l.current = s
 	l.digest = Digest(s)
+	l.full = nil
 	return nil
 }
 
@@ -76,7 +80,7 @@
 }
 
 // Answer returns what a caller at the given revision and digest needs. The revision equals the caller's when nothing is
-// newer, or when the caller is ahead of this server.
+// newer, or when the caller is ahead of this server. The answer shares a snapshot with others and must not be changed.
 func (l *DeltaLog) Answer(since model.Revision, digest []byte) *configpb.FetchResponse {
 	res := &configpb.FetchResponse{Revision: uint64(l.current.Revision), Digest: l.digest}
 	if since > l.current.Revision {
@@ -87,13 +91,20 @@
 	}
 	first, ok := l.find(since, digest)
 	if since == 0 || since == l.current.Revision || !ok {
-		res.Snapshot = ToProto(l.current)
+		res.Snapshot = l.snapshot()
 		return res
 	}
 	res.Delta = l.merge(first)
 	return res
 }
 
+func (l *DeltaLog) snapshot() *configpb.Snapshot {
+	if l.full == nil {
+		l.full = ToProto(l.current)
+	}
+	return l.full
+}
+
 // find returns the index of the change that starts at a revision with the given digest.
 func (l *DeltaLog) find(since model.Revision, digest []byte) (int, bool) {
 	for i := len(l.changes) - 1; i >= 0; i-- {
