Spread the long polls over the control VMs

Cause: settings list the control VMs in one order, so the long polls of all 6,670 nodes waited at the first one, which then answered each change 6,670 times (507 cpu-ms with TLS) and held 14 KB of memory for each. Change: a node rotates the list by the hash of its name. Test: every VM gets a seventh of 6,670 nodes within a fifth. Conclusion: the work of a change is divided by the number of control VMs.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
 	"github.com/plantainseam/plantainseam/internal/dissemination"
@@ -44,7 +46,7 @@
 	c := &configuration{process: p, server: dissemination.NewServer(), path: path, keys: p.settings.Tunnel.Keys}
 	c.table = routing.Build(model.NewSnapshot())
 	var servers []string
-	for _, address := range p.controlAddresses() {
+	for _, address := range pollOrder(p.ref.Host, p.controlAddresses()) {
 		servers = append(servers, p.scheme()+"://"+address)
 	}
 	client, err := dissemination.NewClient(dissemination.ClientConfig{
@@ -63,6 +65,16 @@
 	return c, nil
 }
 
+// pollOrder rotates the control VMs by the host's name. Settings name them in one order everywhere, and without it the
+// long polls of all nodes wait at the first one.
+func pollOrder(host model.HostID, addresses []string) []string {
+	if len(addresses) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(string(host)) % uint64(len(addresses)))
+	return append(slices.Clone(addresses[first:]), addresses[:first]...)
+}
+
 func (c *configuration) run(ctx context.Context) { _ = c.client.Run(ctx) }
 
 // revision returns the revision in force.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -141,6 +142,23 @@
 	})
 })
 
+// Guards against control VMs that carry the long polls of all nodes, or none, and against one that a node never asks.
+var _ = It("spreads the long polls over the control VMs", func() {
+	servers := []string{"a", "b", "c", "d", "e", "f", "g"}
+	first := map[string]int{}
+	const nodes = 6670
+	for i := range nodes {
+		order := pollOrder(model.HostID(fmt.Sprintf("host-%05d", i)), servers)
+		Expect(order).To(ConsistOf(servers))
+		first[order[0]]++
+	}
+	for _, server := range servers {
+		Expect(first[server]).To(BeNumerically("~", nodes/len(servers), nodes/len(servers)/5), server)
+	}
+	Expect(servers).To(Equal([]string{"a", "b", "c", "d", "e", "f", "g"}))
+	Expect(pollOrder("u1", nil)).To(BeEmpty())
+})
+
 // Guards against an agent that acts under a configuration from before its present run was registered.
 var _ = DescribeTable("admits configurations of the present run only", func(known *model.HostRef, want bool) {
 	p := testProcess(nil)
