Drive the stand-ins by commands and share the set-up of scripts

Cause: the fault cases need the walk's deployment, further controls over fabric, callers and upstream processes, and a tally that a script can read. Signals only start and stop the callers.

Change: scripts/lib.sh holds the set-up that scripts/walk.sh had. The stand-ins read commands from standard input and answer with JSON.

--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,201 @@
+# Functions that start a deployment of separate processes with TLS on loopback addresses. A script that sources this file
+# sets `bin` to a folder with the binaries, and `failing` is called when a command of the deployment fails.
+#
+# A deployment is described by these variables:
+#   name      prefix of the host names
+#   net       second byte of its loopback addresses 127.$net.0.0 and of the frontends 10.$net.0.0
+#   dir       folder of its files
+#   domains   failure domains, as an array
+#   requests  name of the request service, at 10.$net.0.1:80
+#   images    name of the stream service, at 10.$net.0.2:80
+#   upstreams number of upstreams; all carry $requests
+#   first_image  number of the first upstream that carries $images as well
+#   entry_data   "yes" gives the entry VMs a data folder (optional)
+#   probes    further lines of the upstream settings (optional)
+
+build() { go build -o "$bin/" ./cmd/... ./examples/standins; }
+
+# settings HOST DOMAIN ROLE ADDRESS writes the part of a settings file that every process has.
+settings() {
+  cat <<YAML
+host: $1
+failure_domain: $2
+roles: [$3]
+rpc: $4:7000
+metrics: $4:9100
+tls:
+  certificate: $dir/$1.pem
+  key: $dir/$1-key.pem
+  authority: $dir/ca.pem
+YAML
+}
+
+servers() {
+  local i
+  echo "control:"
+  echo "  servers:"
+  for i in 1 2 3; do
+    echo "    - name: $name-c$i"
+    echo "      rpc: 127.$net.2.$i:7000"
+    [ -n "${identity[$i]:-}" ] && echo "      identity: ${identity[$i]}"
+  done
+  return 0
+}
+
+# tunnel ADDRESS [FABRIC] writes the tunnel settings; new_secret adds a second key.
+tunnel() {
+  echo "tunnel:"
+  echo "  listen: $1:6081"
+  [ -n "${2:-}" ] && echo "  fabric: $2"
+  echo "  keys:"
+  echo "    - id: 1"
+  echo "      secret: $secret"
+  if [ -n "${new_secret:-}" ]; then
+    echo "    - id: 2"
+    echo "      secret: $new_secret"
+  fi
+}
+
+random_secret() { head -c 32 /dev/urandom | base64 -w 0; }
+
+certificate() { "$bin/plantainseam" pki issue --dir "$dir" --name "$1" --role "$2" --address "$3"; }
+
+# launch NAME starts a daemon and notes its process id in pid_of.
+launch() {
+  "$bin/plantainseamd" --config "$dir/$1.yaml" --check-config >/dev/null
+  "$bin/plantainseamd" --config "$dir/$1.yaml" 2>>"$dir/$1.log" &
+  pids+=($!)
+  pid_of[$1]=$!
+}
+
+# end_processes kills the processes of this shell that are still listed.
+end_processes() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill -KILL "$pid" 2>/dev/null || true
+    wait "$pid" 2>/dev/null || true
+  done
+  pids=()
+}
+
+# operate runs the command line against all control VMs, as the operator $operator or ada.
+operate() {
+  local as=${operator:-ada}
+  "$bin/plantainseam" --certificate "$dir/$as.pem" --key-file "$dir/$as-key.pem" --authority "$dir/ca.pem" \
+    --control "127.$net.2.1:7000" --control "127.$net.2.2:7000" --control "127.$net.2.3:7000" "$@"
+}
+
+# read_plan FILE sets intent and plan from the printed plan.
+read_plan() {
+  intent=$(sed -n 's/^intent \([0-9]*\) .*/\1/p' "$1")
+  plan=$(sed -n 's/^plan \([0-9]*\) .*/\1/p' "$1")
+}
+
+# carry COMMAND... plans an intent, prints the plan, and confirms it.
+carry() {
+  operate "$@" | tee "$dir/plan"
+  read_plan "$dir/plan"
+  operate confirm --intent "$intent" --plan "$plan" >/dev/null
+}
+
+# carry_out COMMAND... carries an intent and waits until its plan has ended.
+carry_out() {
+  carry "$@"
+  operate show --intent "$intent" --wait >/dev/null
+}
+
+# write_control NUMBER SUFFIX writes the settings of an initial control VM; SUFFIX is a further line or empty.
+write_control() {
+  { settings "$name-c$1" "${domains[$1]}" control "127.$net.2.$1"; echo "data_dir: $dir/c$1"; servers
+    echo "$2"; echo "  signing_key: $dir/system-key"; } >"$dir/$name-c$1.yaml"
+}
+
+# write_entry NUMBER and write_upstream NUMBER write the settings of an entry VM and of an agent.
+write_entry() {
+  { settings "$name-e$1" "${domains[$1]}" entry "127.$net.3.$1"
+    if [ "${entry_data:-}" = yes ]; then echo "data_dir: $dir/e$1"; fi
+    servers; tunnel "127.$net.3.$1"; } >"$dir/$name-e$1.yaml"
+}
+
+write_upstream() {
+  local carries=$requests
+  if [ "$1" -ge "$first_image" ]; then carries="$requests, $images"; fi
+  { settings "$name-u$1" "${domains[$(($1 % ${#domains[@]}))]}" upstream "127.$net.4.$1"; servers
+    tunnel "127.$net.4.$1" "127.$net.1.1:6081"
+    echo "upstream:"; echo "  carries: [$carries]"; echo "  backend: 127.$net.4.$1:8080"
+    echo "${probes:-}"; } >"$dir/$name-u$1.yaml"
+}
+
+# start_standins starts fabric, upstream processes and callers, which take commands with standins.
+start_standins() {
+  local i arguments=()
+  for i in 1 2 3; do arguments+=(--entry "127.$net.3.$i:6081"); done
+  for ((i = 1; i <= upstreams; i++)); do arguments+=(--backend "127.$net.4.$i:8080"); done
+  mkfifo "$dir/commands" "$dir/answers"
+  "$bin/standins" --fabric "127.$net.1.1:6081" "${arguments[@]}" --prefix "$net" \
+    --requests "10.$net.0.1:80" --images "10.$net.0.2:80" <"$dir/commands" >"$dir/answers" 2>"$dir/standins.log" &
+  pids+=($!)
+  exec {commands}>"$dir/commands" {answers}<"$dir/answers"
+}
+
+# standins COMMAND... gives the stand-ins a command and leaves the answer, one line of JSON, in $answer.
+standins() {
+  echo "$*" >&"$commands"
+  read -r answer <&"$answers"
+  if [ "$(jq 'has("error")' <<<"$answer")" = true ]; then
+    echo "standins $*: $answer" >&2
+    return 1
+  fi
+}
+
+# deploy starts the control VMs, entry VMs, agents and stand-ins of the described deployment, and creates its services.
+deploy() {
+  local i hosts=() image_hosts=()
+  mkdir -p "$dir"
+  identity=()
+  secret=$(random_secret)
+  "$bin/plantainseam" pki authority --dir "$dir"
+  "$bin/plantainseam" pki signing-key --file "$dir/system-key"
+  "$bin/plantainseam" pki signing-key --file "$dir/ada-sign"
+  "$bin/plantainseam" pki issue --dir "$dir" --name ada --role operator
+  for i in 1 2 3; do
+    certificate "$name-c$i" control "127.$net.2.$i"
+    write_control "$i" ""
+    identity[$i]=$("$bin/plantainseamd" --config "$dir/$name-c$i.yaml" --init-data)
+  done
+  for i in 1 2 3; do
+    write_control "$i" "  bootstrap: true"
+    launch "$name-c$i"
+  done
+  for i in 1 2 3; do
+    certificate "$name-e$i" entry "127.$net.3.$i"
+    write_entry "$i"
+    launch "$name-e$i"
+  done
+  for ((i = 1; i <= upstreams; i++)); do
+    certificate "$name-u$i" upstream "127.$net.4.$i"
+    write_upstream "$i"
+    launch "$name-u$i"
+    hosts+=(--host "$name-u$i")
+    if [ "$i" -ge "$first_image" ]; then image_hosts+=(--host "$name-u$i"); fi
+  done
+  start_standins
+  carry_out create-service --key "create-$requests" --name "$requests" --frontend "10.$net.0.1:80" --kind request "${hosts[@]}"
+  carry_out create-service --key "create-$images" --name "$images" --frontend "10.$net.0.2:80" --kind stream "${image_hosts[@]}"
+  operate list --await-in-force
+}
+
+# leader_number prints the number of the control VM that leads.
+leader_number() {
+  local address
+  address=$(operate leader)
+  address=${address%:7000}
+  echo "${address##*.}"
+}
+
+# signed_report SERVICE fetches the report of a closed service to report.json, signs and verifies it.
+signed_report() {
+  operate report fetch --service "$1" --file "$dir/report.json"
+  operate report sign --file "$dir/report.json" --name ada --signing-key "$dir/ada-sign"
+  operate report verify --file "$dir/report.json" --system-key "$dir/system-key.pub" --name ada --operator-key "$dir/ada-sign.pub"
+}
--- a/standin/backend/http.go
+++ b/standin/backend/http.go
@@ -88,6 +88,13 @@
 	return h.runs[key]
 }
 
+// Total returns the number of runs that began.
+func (h *HTTP) Total() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.finished + h.cancelled + h.running
+}
+
 // Finished returns the number of runs whose answer was written, and of those whose caller went away.
 func (h *HTTP) Finished() (finished, cancelled int) {
 	h.mu.Lock()
