Create the data folder of an entry VM or agent at its start

Cause: with a data_dir that does not exist, a process starts, and then refuses every configuration because it cannot store it (PS4104 in its log twice a second). An entry VM in that state never forwards a packet, and the plan that creates the first service waits for it: `faults.sh quorum_lost` failed at its set-up with "revision 6 is not in force at ub-e1".

Change: the folder is created, or the process ends with PS4104.

Conclusion: a data_dir needs no preparation on entry VMs and agents.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 
@@ -10,6 +11,7 @@
 
 	"github.com/plantainseam/plantainseam/internal/dissemination"
 	"github.com/plantainseam/plantainseam/internal/model"
+	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/internal/routing"
 	"github.com/plantainseam/plantainseam/internal/settings"
 	"github.com/plantainseam/plantainseam/internal/timeline"
@@ -47,6 +49,9 @@
 	for _, address := range p.controlAddresses() {
 		servers = append(servers, p.scheme()+"://"+address)
 	}
+	if err := makeDataDir(p.settings.DataDir); err != nil {
+		return nil, err
+	}
 	client, err := dissemination.NewClient(dissemination.ClientConfig{
 		Host:         string(p.ref.Host),
 		Servers:      servers,
@@ -63,6 +68,21 @@
 	return c, nil
 }
 
+// dataDirMode lets only the user of the process read its state.
+const dataDirMode = 0o700
+
+// makeDataDir creates the folder of an entry VM or agent that has one in its settings. A control VM's folder is made by
+// InitData only, because a lost one must not be replaced silently.
+func makeDataDir(dir string) error {
+	if dir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(dir, dataDirMode); err != nil {
+		return result.Errorf(result.StoreWriteFailed, "create data_dir: %w", err)
+	}
+	return nil
+}
+
 func (c *configuration) run(ctx context.Context) { _ = c.client.Run(ctx) }
 
 // revision returns the revision in force.
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/account"
+	"github.com/plantainseam/plantainseam/internal/dissemination"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/peer"
 	"github.com/plantainseam/plantainseam/internal/pki"
@@ -128,6 +129,14 @@
 	})
 
 	// Guards against a reload that takes a key away while peers sign with it.
+	// Guards against a process that never takes a configuration because the folder of its settings does not exist yet.
+	It("makes its data folder", func() {
+		dir := filepath.Join(GinkgoT().TempDir(), "state", "e1")
+		_, err := newConfiguration(testProcess(func(s *settings.Settings) { s.DataDir = dir }), &fakePath{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(dissemination.Save(dir, snapshot(1, model.KeyRing{}))).To(Succeed())
+	})
+
 	It("keeps the keys in use when a reload would drop one", func() {
 		path := &fakePath{}
 		c, err := newConfiguration(testProcess(func(s *settings.Settings) {
