Restore the stored configuration before an entry VM serves

Cause: after a restart an entry VM put its stored configuration into force in a goroutine that starts after the metrics listener and together with the announcements, so that it showed revision 0 for a moment.

Conclusion: an entry VM never shows or announces a revision below the one it stored.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -129,6 +129,19 @@
 	})
 
 	// Guards against a reload that takes a key away while peers sign with it.
+	// Guards against an entry VM that shows revision 0 for a moment after a restart although it has a newer one on disk.
+	It("is in force before the process serves", func() {
+		dir := GinkgoT().TempDir()
+		Expect(dissemination.Save(dir, snapshot(7, model.KeyRing{}))).To(Succeed())
+		role, err := newEntryRole(testProcess(func(s *settings.Settings) {
+			s.DataDir = dir
+			s.Tunnel.Listen = netip.MustParseAddrPort("127.0.0.1:0")
+		}))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(role.entry.Close)
+		Expect(role.config.revision()).To(BeEquivalentTo(7))
+	})
+
 	// Guards against a process that never takes a configuration because the folder of its settings does not exist yet.
 	It("makes its data folder", func() {
 		dir := filepath.Join(GinkgoT().TempDir(), "state", "e1")
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -42,6 +42,7 @@
 		_ = e.Close()
 		return nil, err
 	}
+	r.config.client.Restore()
 	r.announcer = newAnnouncer(p, r, r.config, nil)
 	registerEntryMetrics(p.registry, e, r.config)
 	return r, nil
--- a/internal/dissemination/client.go
+++ b/internal/dissemination/client.go
@@ -56,13 +56,14 @@
 
 // Client keeps a process at the newest configuration. One goroutine, Run, owns the current snapshot.
 type Client struct {
-	cfg     ClientConfig
-	current *model.Snapshot
-	digest  []byte
-	full    bool // the next fetch asks for a full snapshot, after a digest that did not match
-	hints   chan model.Revision
-	hinted  model.Revision // newest revision that a hint named
-	tries   int            // servers that may still be asked for it without a pause
+	cfg      ClientConfig
+	current  *model.Snapshot
+	digest   []byte
+	restored bool // the stored snapshot was handed to OnApply
+	full     bool // the next fetch asks for a full snapshot, after a digest that did not match
+	hints    chan model.Revision
+	hinted   model.Revision // newest revision that a hint named
+	tries    int            // servers that may still be asked for it without a pause
 }
 
 // NewClient loads the stored snapshot, if any. A damaged file is result.StoreCorrupt: the process has lost the revision
@@ -89,12 +90,19 @@
 	}
 }
 
+// Restore puts the stored snapshot into force. Run does so as well; a process calls Restore before it serves or announces
+// anything, so that it never shows a revision below its own.
+func (c *Client) Restore() {
+	if c.current.Revision > 0 && !c.restored {
+		c.cfg.OnApply(c.current)
+	}
+	c.restored = true
+}
+
 // Run fetches until ctx ends. A long poll runs at one server; the others are asked in turn with short fetches, so that
 // a server that is partitioned from the leader cannot hold the process back.
 func (c *Client) Run(ctx context.Context) error {
-	if c.current.Revision > 0 {
-		c.cfg.OnApply(c.current)
-	}
+	c.Restore()
 	if len(c.cfg.Servers) == 0 {
 		return result.Errorf(result.SettingsMissing, "no configuration servers")
 	}
