Keep a leader hint when another control VM does not answer

Cause: the operators' client clears the leader that one control VM named when the next address of its list is dead. After the replacement of a control VM, whose address is not on the list, and the loss of another, commands fail with PS4002 although there is a quorum.

Change: only the presumed leader's own failure clears it.

Conclusion: operators reach a leader outside their list as long as one control VM of the list is alive.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -82,7 +82,7 @@
 	defer cancel()
 	resp, err := f(ctx, intentpb.NewIntentsProtobufClient(c.scheme+"://"+address, c.http))
 	if err != nil {
-		c.leader = ""
+		c.follow(address, "")
 		return false, result.Errorf(result.NoQuorum, "%s: %w", address, err)
 	}
 	code := result.Code(resp.GetCode())
@@ -91,13 +91,21 @@
 		c.leader = address
 		return true, nil
 	case result.NotLeader, result.NoQuorum, result.ProposalLost:
-		c.leader = resp.GetLeader()
+		c.follow(address, resp.GetLeader())
 		return false, result.Errorf(code, "%s: %s", address, resp.GetDetail())
 	}
 	c.leader = address
 	return true, result.Errorf(code, "%s", resp.GetDetail())
 }
 
+// follow notes the leader that an address named. An address that names none says nothing about a leader that another
+// address named.
+func (c *Client) follow(address, leader string) {
+	if leader != "" || c.leader == address {
+		c.leader = leader
+	}
+}
+
 // Plan submits an intent and returns it with its plan. A refused intent is returned together with the error.
 func (c *Client) Plan(ctx context.Context, key string, spec *intentpb.Spec) (*intentpb.Intent, error) {
 	return c.intent(ctx, func(ctx context.Context, s intentpb.Intents) (*intentpb.IntentResponse, error) {
