Keep the lease of a host that may not carry one of its services

Cause: the control VMs answer such a host with PS5201 and a lease, but the announcement client took any code for a refusal without a lease. A host with two services therefore took no new flows of the second one as soon as the first was closed (a closed name counts as a missing right), or before it was created, and its account was never acknowledged. The client also ignored the permission to stop in a refusal, so a retired host did not stop at SIGTERM.

Change: the client takes the lease that the answer carries, logs the code, and takes the permission to stop from a refusal.

--- a/internal/announce/client.go
+++ b/internal/announce/client.go
@@ -46,7 +46,9 @@
 	target   target
 	sequence uint64
 	lease    atomic.Pointer[Lease]
-	lastCode result.Code
+
+	lastCode   result.Code
+	lastDetail string
 }
 
 // NewClient returns a client that holds no lease yet.
@@ -104,7 +106,13 @@
 		return false
 	}
 	c.report(code, resp.Detail)
-	if code != result.OK {
+	if code != result.OK && resp.LeaseMs == 0 {
+		if resp.Drained {
+			// A retired host is refused and may stop nevertheless.
+			l := c.Lease()
+			l.Drained = true
+			c.grant(l)
+		}
 		return true
 	}
 	c.config.Source.Acknowledged(req.Sequence)
@@ -123,14 +131,14 @@
 	}
 }
 
-// report logs a result code when it changes, not once per heartbeat.
+// report logs a result when it changes, not once per heartbeat.
 func (c *Client) report(code result.Code, detail string) {
-	if code == c.lastCode {
+	if code == c.lastCode && detail == c.lastDetail {
 		return
 	}
-	c.lastCode = code
+	c.lastCode, c.lastDetail = code, detail
 	if code == result.OK {
-		level.Info(c.config.Logger).Log("event", "announcement-accepted")
+		level.Info(c.config.Logger).Log("event", "announcement-accepted", "detail", detail)
 		return
 	}
 	level.Warn(c.config.Logger).Log("event", "announcement-refused", "code", int(code), "result", code, "detail", detail)
--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -94,6 +94,8 @@
 	}
 	switch {
 	case len(d.Missing) > 0:
+		// The code tells the operator; the lease stays for the other services, since one service of a host may be
+		// closed while the settings of the host still name it.
 		res.Code = uint32(result.AnnounceNotPermitted)
 		res.Detail = fmt.Sprintf("%s may not carry %s", req.Host, strings.Join(d.Missing, ", "))
 	case d.Lost:
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -311,3 +311,29 @@
 	r.g.Expect(svc.Members[0].State).To(Equal(model.UpstreamActive))
 	r.log.replicas[0].state.Read(func(c *catalog.Catalog) { r.g.Expect(c.Host("h1").Losses).To(BeZero()) })
 }
+
+// Guards against a host that loses its lease, and with it takes no new flows of any service, because one of the services
+// in its settings is closed or does not exist yet.
+func TestMissingRightEndsNoLeaseOfOtherServices(t *testing.T) {
+	r := newRig(t, 1)
+	r.entry("e1", "ub-campus")
+	r.host("h1", "ub-bayangol", "sample-book")
+	both := r.host("h2", "ub-khanuul", "sample-book", "scan-vault")
+	scan := r.host("h3", "ub-campus", "scan-vault")
+	expect := func(req *memberpb.AnnounceRequest, code result.Code) {
+		t.Helper()
+		res := r.heartbeat(req)
+		r.g.Expect(result.Code(res.Code)).To(Equal(code), res.Detail)
+		r.g.Expect(res.LeaseMs).To(BeNumerically(">", 0))
+	}
+	r.settle(1)
+	expect(both, result.AnnounceNotPermitted)
+	r.carry("c1", createSpec("sample-book", "10.0.0.1:80", "request", "h1", "h2"))
+	expect(both, result.AnnounceNotPermitted)
+	expect(scan, result.AnnounceNotPermitted)
+	r.carry("c2", createSpec("scan-vault", "10.0.0.2:80", "stream", "h2", "h3"))
+	expect(scan, result.OK)
+	r.carry("close", &intentpb.Spec{Want: &intentpb.Spec_Close{Close: &intentpb.CloseService{Service: "scan-vault"}}})
+	expect(both, result.AnnounceNotPermitted)
+	expect(scan, result.AnnounceNotPermitted)
+}
