Drain a single service in the gate

Cause: the gate knew only whether the whole host drains.

Change: the request machine takes the state per service; the gate derives it from each configuration and hands the queue of that service over.

go test ./gate -run TestDrainOfOneService: before, 3 of 4 cases fail (1 run at the draining host, status 200 where the host had left or the service was closing); after, all pass. go test -race ./internal/gate ./internal/request passes.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -157,14 +157,35 @@
 	}
 }
 
-// Apply installs a configuration: queue limits and the members of each service.
+// Apply installs a configuration: queue limits, the members of each service, and the services that this host leaves. Only
+// one goroutine may call it.
 func (g *Gate) Apply(s *model.Snapshot) {
-	g.snapshot.Store(s)
+	old := g.snapshot.Swap(s)
 	g.post(input{run: func() {
 		for id, svc := range s.Services {
 			g.machine.SetQueueLimit(id, svc.QueueLimit)
 		}
 	}})
+	began := false
+	for id, svc := range s.Services {
+		began = began || g.leaves(svc) && !g.leaves(old.Services[id])
+	}
+	if began {
+		// The machine hands queues over when it learns of the drain, so it needs the peers before.
+		g.refreshPeers(g.ctx)
+	}
+	for id, svc := range s.Services {
+		g.post(input{event: request.ServiceDrain{Service: id, Draining: g.leaves(svc)}})
+	}
+}
+
+// leaves tells whether this host takes no new requests of a service. Its kept connections may still bring some.
+func (g *Gate) leaves(svc *model.Service) bool {
+	if svc == nil {
+		return false
+	}
+	m, ok := svc.Member(g.cfg.Self.Host)
+	return !ok || m.State != model.UpstreamActive || svc.Closing
 }
 
 // SetLocal sets the state of the host: draining, cold.
--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -163,6 +163,42 @@
 	g.Expect(c.send(context.Background(), "host-1", "POST", "k3", "x").Code).To(Equal("3004"))
 }
 
+// Guards against a host that leaves one of its services and goes on running requests of it, which arrive on connections
+// that callers keep, because it stays active in another service.
+func TestDrainOfOneService(t *testing.T) {
+	active := []model.Member{{Host: "host-0", State: model.UpstreamActive}, {Host: "host-1", State: model.UpstreamActive}}
+	moved := []model.Member{{Host: "host-0", State: model.UpstreamDraining}, {Host: "host-1", State: model.UpstreamActive}}
+	for name, c := range map[string]struct {
+		service model.Service
+		want    httpcall.Reply
+		here    int // runs on the host that the request reached
+	}{
+		"active":   {model.Service{Members: active}, httpcall.Reply{Status: 200, Code: "0", Body: "ran x"}, 1},
+		"draining": {model.Service{Members: moved}, httpcall.Reply{Status: 200, Code: "0", Body: "ran x"}, 0},
+		"left":     {model.Service{Members: moved[1:]}, httpcall.Reply{Status: 503, Code: "3004"}, 0},
+		"closing":  {model.Service{Members: active, Closing: true}, httpcall.Reply{Status: 503, Code: "3004"}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			cl := withCluster(t, 2, plain)
+			s := model.NewSnapshot()
+			s.Services[8] = &model.Service{ID: 8, Kind: model.KindRequest, Members: active}
+			svc := c.service
+			svc.ID, svc.Kind = serviceID, model.KindRequest
+			s.Services[serviceID] = &svc
+			for _, host := range []model.HostID{"host-0", "host-1"} {
+				cl.node(host).gate.Apply(s)
+			}
+			r := cl.send(context.Background(), "host-0", "POST", "k", "x")
+			if c.want.Status != 200 {
+				r.Body = ""
+			}
+			g.Expect(r).To(Equal(c.want))
+			g.Expect(cl.node("host-0").upstream.Runs("x")).To(Equal(c.here))
+		})
+	}
+}
+
 // Guards against a retry that runs again, or is told "not run", after the agent that ran the request was restarted.
 func TestOwnerRestarts(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/request/admission.go
+++ b/internal/request/admission.go
@@ -21,6 +21,7 @@
 	health    health
 
 	queueLimit int
+	draining   bool // the host leaves this service
 }
 
 func (m *Machine) service(id model.ServiceID) *service {
@@ -80,7 +81,7 @@
 	switch {
 	case w.expired(m.now):
 		m.refuse(w, result.RequestDeadlinePassed)
-	case m.local.Draining:
+	case m.draining(w.Service):
 		m.admitDraining(w)
 	case len(s.queue) >= s.queueLimit:
 		m.refuseOrMove(w, s, result.RequestQueueFull)
--- a/internal/request/health.go
+++ b/internal/request/health.go
@@ -154,7 +154,7 @@
 
 // takesWork tells whether a work may run here, and marks it as a probe if the upstream is ejected and due for one.
 func (m *Machine) takesWork(id model.ServiceID, w *work) bool {
-	if m.local.Draining {
+	if m.draining(id) {
 		return false
 	}
 	if _, ejected := m.Ejected(id); !ejected {
@@ -186,7 +186,7 @@
 // TakesWork tells other agents whether this one runs work of a service.
 func (m *Machine) TakesWork(id model.ServiceID) bool {
 	_, ejected := m.Ejected(id)
-	return !m.local.Draining && !ejected
+	return !m.draining(id) && !ejected
 }
 
 // Mean returns the measured service time of a service, 0 before the first answer.
--- a/internal/request/machine.go
+++ b/internal/request/machine.go
@@ -82,6 +82,8 @@
 		m.service(e.Service).peers = e.Peers
 	case Local:
 		m.setLocal(e)
+	case ServiceDrain:
+		m.setServiceDrain(e)
 	}
 	m.schedule()
 	out = m.out
@@ -130,7 +132,7 @@
 	}
 	if e.HandedOver {
 		// The agent that holds the caller tries elsewhere; nothing was bound, so there is nothing to release.
-		m.refuse(w, m.declineCode())
+		m.refuse(w, m.declineCode(e.Service))
 		return
 	}
 	if !m.handOver(w) {
@@ -138,8 +140,8 @@
 	}
 }
 
-func (m *Machine) declineCode() result.Code {
-	if m.local.Draining {
+func (m *Machine) declineCode(id model.ServiceID) result.Code {
+	if m.draining(id) {
 		return result.RequestDraining
 	}
 	return result.RequestNoUpstream
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
 )
 
@@ -147,8 +148,26 @@
 	if !began {
 		return
 	}
+	m.handQueuesOver()
+}
+
+// setServiceDrain notes that the host leaves one service or carries it again.
+func (m *Machine) setServiceDrain(e ServiceDrain) {
+	m.service(e.Service).draining = e.Draining
+	if e.Draining {
+		m.handQueuesOver()
+	}
+}
+
+// draining tells whether the host takes no new work of a service.
+func (m *Machine) draining(id model.ServiceID) bool {
+	return m.local.Draining || m.service(id).draining
+}
+
+// handQueuesOver hands the queued work of the services that drain to other agents.
+func (m *Machine) handQueuesOver() {
 	for _, w := range m.sortedWorks() {
-		if w.state != stateQueued || !m.canHandOver(w) {
+		if w.state != stateQueued || !m.draining(w.Service) || !m.canHandOver(w) {
 			continue
 		}
 		m.unqueue(w)
--- a/internal/request/types.go
+++ b/internal/request/types.go
@@ -141,6 +141,12 @@
 	Cold          bool      // the upstream process is starting
 }
 
+// ServiceDrain tells whether the host leaves one service, while it may go on with others.
+type ServiceDrain struct {
+	Service  model.ServiceID
+	Draining bool
+}
+
 func (Received) requestEvent()      {}
 func (Cancelled) requestEvent()     {}
 func (BindResult) requestEvent()    {}
@@ -153,6 +159,7 @@
 func (Tick) requestEvent()          {}
 func (Peers) requestEvent()         {}
 func (Local) requestEvent()         {}
+func (ServiceDrain) requestEvent()  {}
 
 // ActionKind says what the gate has to do.
 type ActionKind uint8
