Put a refused configuration into force when its key arrives

Cause: a configuration that names a tunnel key which the settings lack stays out of force, but the client keeps it as current and never offers it again. After the operator added the key and sent SIGHUP the VM stayed at the old revision until the next change. A key rotation waits for exactly that revision at every VM, so it did not end, and other plans on the VM's host waited too.

Change: the newest refused configuration is kept and installed when the keys are reloaded. The earlier test expected revisions 1 and 3 in force; it now expects 1, 2 and 3.

go test ./internal/daemon: before, revision 1 after the reload; after, 2.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -29,8 +29,11 @@
 	client  *dissemination.Client
 	server  *dissemination.Server
 	path    dataPath
-	table   *routing.Table // used by the client's goroutine only
-	applied atomic.Uint64  // revision in force
+	applied atomic.Uint64 // revision in force
+
+	applying sync.Mutex // held while a configuration or keys are put into force; taken before mu
+	table    *routing.Table
+	refused  *model.Snapshot // newest configuration, if the settings lack one of its keys
 
 	mu    sync.Mutex // guards keys and inUse
 	keys  []settings.TunnelKey
@@ -70,11 +73,20 @@
 
 // apply installs a snapshot. It runs in the client's goroutine.
 func (c *configuration) apply(s *model.Snapshot) {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	c.install(s)
+}
+
+// install puts a snapshot into force if the VM can carry it out. The caller holds applying.
+func (c *configuration) install(s *model.Snapshot) {
+	c.refused = nil
 	if c.admit != nil && !c.admit(s) {
 		return
 	}
 	if err := c.useKeys(s.Keys); err != nil {
 		// The revision stays out of force, and the operator sees that at this VM.
+		c.refused = s
 		level.Error(c.process.logger).Log("event", "configuration-refused", "revision", s.Revision, "err", err)
 		c.process.events.Record(timeline.Event{Kind: timeline.KindConfigRefused, Detail: err.Error()})
 		return
@@ -106,8 +118,21 @@
 }
 
 // reloadKeys replaces the tunnel keys of the settings. Keys without which the configuration in force cannot be carried
-// out are refused, and the old ones stay in use.
+// out are refused, and the old ones stay in use. A configuration that waited for a key is then put into force: no newer
+// one may follow, since the plan that rotates the key waits for it.
 func (c *configuration) reloadKeys(keys []settings.TunnelKey) error {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	if err := c.replaceKeys(keys); err != nil {
+		return err
+	}
+	if c.refused != nil {
+		c.install(c.refused)
+	}
+	return nil
+}
+
+func (c *configuration) replaceKeys(keys []settings.TunnelKey) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ring, err := keyRing(keys, c.inUse)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -133,10 +133,12 @@
 		c.apply(snapshot(2, both))
 		Expect(c.revision()).To(BeEquivalentTo(1))
 
+		// Guards against a rotation that waits for ever: its next revision follows only when this one is in force.
 		Expect(c.reloadKeys([]settings.TunnelKey{key(1), key(2)})).To(Succeed())
+		Expect(c.revision()).To(BeEquivalentTo(2))
 		c.apply(snapshot(3, both))
 		Expect(c.revision()).To(BeEquivalentTo(3))
-		Expect(path.revisions).To(Equal([]model.Revision{1, 3}))
+		Expect(path.revisions).To(Equal([]model.Revision{1, 2, 3}))
 	})
 
 	// Guards against a reload that takes a key away while peers sign with it.
