Fetch from other control VMs only where hints are missing

Cause: each node opened a new TLS connection to another control VM every 5 s although each heartbeat named the newest revision; at 6,670 nodes and seven VMs that is 191 handshakes a second for each VM. Change: short fetches rest while hints come. A hint that names a missing revision starts one at once, as before. Test: a client with a partitioned server finds the revision by hints alone, and without hints by short fetches.

--- a/internal/dissemination/client.go
+++ b/internal/dissemination/client.go
@@ -17,7 +17,7 @@
 const (
 	DefaultWait    = 10 * time.Second       // how long a server may hold a Fetch
 	DefaultSilence = 3 * time.Second        // time beyond the wait after which a connection counts as silent
-	DefaultProbe   = 5 * time.Second        // interval of short fetches from the other servers in turn
+	DefaultProbe   = 5 * time.Second        // interval of short fetches from the other servers in turn while no hints come
 	DefaultRetry   = 200 * time.Millisecond // pause after a failed fetch
 	MaxRetry       = 5 * time.Second        // the pause doubles with each failure in a row up to this
 	// DefaultPace is the mean time between revisions after a burst of PaceBurst. At the target sizes an entry VM needs
@@ -75,6 +75,7 @@
 	tries   int            // servers that may still be asked for it without a pause
 	due     time.Time      // when the revisions so far would have come into force at one for each Pace
 	urged   bool           // the next revision is wanted without a rest
+	heard   time.Time      // time of the latest hint, which names the newest revision that the leader has
 }
 
 // NewClient loads the stored snapshot, if any. A damaged file is result.StoreCorrupt: the process has lost the revision
@@ -101,8 +102,9 @@
 	}
 }
 
-// Run fetches until ctx ends. A long poll runs at one server; the others are asked in turn with short fetches, so that
-// a server that is partitioned from the leader cannot hold the process back.
+// Run fetches until ctx ends. A long poll runs at one server. The others are asked in turn with short fetches, when a hint
+// names a revision that is missing and while no hints come, so that a server that is partitioned from the leader cannot
+// hold the process back.
 func (c *Client) Run(ctx context.Context) error {
 	if c.current.Revision > 0 {
 		c.cfg.OnApply(c.current)
@@ -123,6 +125,9 @@
 			return ctx.Err()
 		case r := <-c.hints:
 			c.urged = c.urged || r == Urgent
+			if r != Urgent {
+				c.heard = time.Now()
+			}
 			if r > c.current.Revision && c.rest() == 0 {
 				c.hinted, c.tries = r, len(c.cfg.Servers)
 				probe.kick()
@@ -148,6 +153,7 @@
 	req     *configpb.FetchRequest
 	refused bool          // the last response was not applied; another server may do better
 	rest    time.Duration // until the long poll may fetch
+	guided  bool          // hints tell of newer revisions, so that short fetches need not look for them
 	hurry   bool          // a hinted revision is still missing; the next server is to be asked without a pause
 }
 
@@ -158,6 +164,7 @@
 		o.refused = !c.apply(a)
 	}
 	o.rest = c.rest()
+	o.guided = time.Since(c.heard) < c.cfg.Probe
 	if c.hinted > c.current.Revision && c.tries > 0 {
 		c.tries--
 		o.hurry = true
@@ -245,7 +252,7 @@
 			return
 		}
 		o := <-reply
-		if pause > 0 && last != nil && !o.hurry {
+		if pause > 0 && (last != nil || o.guided) && !o.hurry {
 			last = nil // asks for a new order after the pause, since another connection may apply a revision meanwhile
 			c.sleep(ctx, pause)
 			continue
--- a/internal/dissemination/dissemination_test.go
+++ b/internal/dissemination/dissemination_test.go
@@ -302,3 +302,43 @@
 	client.Hint(dissemination.Urgent)
 	g.Eventually(applied, "10s").Should(Receive(HaveField("Revision", s.Revision)))
 }
+
+// Guards against a process that stays with a server that is partitioned from the leader although hints tell it of newer
+// revisions, and against one that relies on hints after they ended.
+func TestClientLeavesPartitionedServer(t *testing.T) {
+	for name, hints := range map[string]bool{"hints": true, "no hints": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			old, current := dissemination.NewServer(), dissemination.NewServer()
+			s := sized(3, 9, 2)
+			g.Expect(old.Publish(s)).To(Succeed())
+			g.Expect(current.Publish(s)).To(Succeed())
+			applied := make(chan *model.Snapshot, 16)
+			cfg := dissemination.ClientConfig{
+				Servers: []string{serve(t, old), serve(t, current)}, Probe: time.Hour, Pace: time.Millisecond,
+				OnApply: func(s *model.Snapshot) { applied <- s },
+			}
+			if !hints {
+				cfg.Probe = 20 * time.Millisecond
+			}
+			client, err := dissemination.NewClient(cfg)
+			g.Expect(err).NotTo(HaveOccurred())
+			go client.Run(t.Context())
+			g.Eventually(applied, "10s").Should(Receive(HaveField("Revision", s.Revision)))
+			client.Hint(s.Revision)
+			s = change(s)
+			g.Expect(current.Publish(s)).To(Succeed())
+			g.Eventually(func() model.Revision {
+				if hints {
+					client.Hint(s.Revision)
+				}
+				select {
+				case got := <-applied:
+					return got.Revision
+				default:
+					return 0
+				}
+			}, "10s").Should(Equal(s.Revision))
+		})
+	}
+}
