--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,5 +1,5 @@
 # Functions that start a deployment of separate processes with TLS on loopback addresses. A script that sources this file
-# sets `bin` to a folder with the binaries, and `failing` is called when a command of the deployment fails.
+# sets `bin` to a folder for the binaries and `pids` to an empty array, and ends with end_processes.
 #
 # A deployment is described by these variables:
 #   name      prefix of the host names
@@ -11,6 +11,7 @@
 #   upstreams number of upstreams; all carry $requests
 #   first_image  number of the first upstream that carries $images as well
 #   entry_data   "yes" gives the entry VMs a data folder (optional)
+#   controls  addresses of control VMs that operate asks instead of all, as an array
 #   probes    further lines of the upstream settings (optional)
 
 build() { go build -o "$bin/" ./cmd/... ./examples/standins; }
@@ -68,6 +69,13 @@
   pid_of[$1]=$!
 }
 
+# crash NAME... kills daemons and returns when they have ended, so that their addresses are free.
+crash() {
+  local process
+  for process in "$@"; do kill -KILL "${pid_of[$process]}"; done
+  for process in "$@"; do wait "${pid_of[$process]}" || true; done
+}
+
 # end_processes kills the processes of this shell that are still listed.
 end_processes() {
   local pid
@@ -78,11 +86,12 @@
   pids=()
 }
 
-# operate runs the command line against all control VMs, as the operator $operator or ada.
+# operate runs the command line as the operator $operator or ada, against the control VMs of $controls or all of them.
 operate() {
-  local as=${operator:-ada}
-  "$bin/plantainseam" --certificate "$dir/$as.pem" --key-file "$dir/$as-key.pem" --authority "$dir/ca.pem" \
-    --control "127.$net.2.1:7000" --control "127.$net.2.2:7000" --control "127.$net.2.3:7000" "$@"
+  local as=${operator:-ada} at=("${controls[@]}") arguments=() address
+  if [ "${#at[@]}" -eq 0 ]; then at=("127.$net.2.1:7000" "127.$net.2.2:7000" "127.$net.2.3:7000"); fi
+  for address in "${at[@]}"; do arguments+=(--control "$address"); done
+  "$bin/plantainseam" --certificate "$dir/$as.pem" --key-file "$dir/$as-key.pem" --authority "$dir/ca.pem" "${arguments[@]}" "$@"
 }
 
 # read_plan FILE sets intent and plan from the printed plan.
--- a/scripts/walk.sh
+++ b/scripts/walk.sh
@@ -28,6 +28,7 @@
   shift 4
   domains=("$@")
   dir=$work/$name
+  controls=()
   declare -A identity=() pid_of=()
 
   echo "== $name: create the services"
@@ -40,7 +41,7 @@
   retire=$intent
   sleep 1
   leader=$(leader_number)
-  kill -KILL "${pid_of[$name-c$leader]}"
+  crash "$name-c$leader"
   echo "leader $name-c$leader was killed"
   sleep 4
   standins stop
