--- a/internal/flow/bench_test.go
+++ b/internal/flow/bench_test.go
@@ -12,21 +12,22 @@
 	"github.com/plantainseam/plantainseam/internal/flow"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/routing"
+	"github.com/plantainseam/plantainseam/standin/flownet"
 )
 
 // soloMachine returns a machine that is the only member of a service.
 func soloMachine(tb testing.TB, maxFlows int) flow.Machine {
-	n := newNetwork(tb, 1, "h1")
-	n.change(func(s *model.Snapshot, _ *model.Service) {
-		s.Upstreams["h1"] = &model.Upstream{Ref: n.agents["h1"].ref, Slots: 3, MaxConnections: maxFlows}
+	n := flownet.New(tb, 1, "h1")
+	n.Change(func(s *model.Snapshot, _ *model.Service) {
+		s.Upstreams["h1"] = &model.Upstream{Ref: n.Agents["h1"].Ref, Slots: 3, MaxConnections: maxFlows}
 	})
-	n.applyAll()
-	return n.agents["h1"].Machine
+	n.ApplyAll()
+	return n.Agents["h1"].Machine
 }
 
 func benchKey(i int) model.FlowKey {
 	addr := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
-	return model.FlowKey{Service: serviceID, Caller: netip.AddrPortFrom(addr, uint16(1024+i%50000))}
+	return model.FlowKey{Service: flownet.ServiceID, Caller: netip.AddrPortFrom(addr, uint16(1024+i%50000))}
 }
 
 // establish opens n flows.
@@ -34,7 +35,7 @@
 	var out []flow.Action
 	for i := range n {
 		p := flow.Packet{Key: benchKey(i), Flags: flow.FlagSYN, Generation: 1}
-		if out = m.Packet(start, p, out[:0]); out[0].Kind != flow.ActionDeliver {
+		if out = m.Packet(flownet.Start, p, out[:0]); out[0].Kind != flow.ActionDeliver {
 			tb.Fatalf("flow %d: action %d, code %s", i, out[0].Kind, out[0].Code)
 		}
 		m.Established(p.Key)
@@ -101,7 +102,7 @@
 	b.ResetTimer()
 	for range b.N {
 		for i := range batch {
-			out = m.Packet(start, packets[i%len(packets)], out[:0])
+			out = m.Packet(flownet.Start, packets[i%len(packets)], out[:0])
 		}
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/packet")
@@ -109,16 +110,16 @@
 
 // redirecting returns a home that has redirects for n flows, which another member registered.
 func redirecting(tb testing.TB, n int) (flow.Machine, int) {
-	net := newNetwork(tb, 1, "h1", "h2")
-	net.state("h2", model.UpstreamDraining) // h1 becomes the home of every bucket
-	net.applyAll()
-	m, from := net.agents["h1"].Machine, net.agents["h2"].ref
+	net := flownet.New(tb, 1, "h1", "h2")
+	net.State("h2", model.UpstreamDraining) // h1 becomes the home of every bucket
+	net.ApplyAll()
+	m, from := net.Agents["h1"].Machine, net.Agents["h2"].Ref
 	for i := 0; i < n; i += flow.MaxCallers {
-		msg := flow.Register{Service: serviceID, Generation: 2, HomeIncarnation: 1, Sequence: uint32(1000 + i)}
+		msg := flow.Register{Service: flownet.ServiceID, Generation: 2, HomeIncarnation: 1, Sequence: uint32(1000 + i)}
 		for j := i; j < min(n, i+flow.MaxCallers); j++ {
 			msg.Callers = append(msg.Callers, benchKey(j).Caller)
 		}
-		m.Message(net.now, from, msg, nil)
+		m.Message(net.Now, from, msg, nil)
 	}
 	if got := m.Stats().Redirects; got != n {
 		tb.Fatalf("%d redirects, want %d", got, n)
@@ -134,7 +135,7 @@
 	for kind, m := range map[flow.ActionKind]flow.Machine{flow.ActionDeliver: owning, flow.ActionForward: home} {
 		p := flow.Packet{Key: benchKey(17), Generation: 1}
 		out := make([]flow.Action, 0, 4)
-		allocs := testing.AllocsPerRun(1000, func() { out = m.Packet(start, p, out[:0]) })
+		allocs := testing.AllocsPerRun(1000, func() { out = m.Packet(flownet.Start, p, out[:0]) })
 		if allocs != 0 || out[0].Kind != kind {
 			t.Fatalf("a packet allocates %v times; action %d, want %d", allocs, out[0].Kind, kind)
 		}
@@ -169,7 +170,7 @@
 
 // balance is a run of one workload.
 type balance struct {
-	*network
+	*flownet.Network
 	workload
 	rng     *rand.Rand
 	hosts   []model.HostID
@@ -181,7 +182,7 @@
 
 // worker is a flow with the work that it gives its upstream.
 type worker struct {
-	*caller
+	*flownet.Caller
 	work float64
 	home model.HostID
 	end  time.Time
@@ -190,21 +191,21 @@
 func newBalance(tb testing.TB, w workload) *balance {
 	hosts := []model.HostID{"u1", "u2", "u3", "u4", "u5", "u6", "u7"}
 	return &balance{
-		network: newNetwork(tb, 3, hosts...), workload: w, hosts: hosts, rng: rand.New(rand.NewPCG(20261204, 1)),
+		Network: flownet.New(tb, 3, hosts...), workload: w, hosts: hosts, rng: rand.New(rand.NewPCG(20261204, 1)),
 	}
 }
 
 // run fills the service for four lifetimes and measures for one more. The first host is cold for half a lifetime. The
 // last host always reports no load.
 func (x *balance) run() (balanced, plain float64) {
-	x.setLocal(x.hosts[0], flow.Local{AcceptNew: true, Cold: true})
+	x.SetLocal(x.hosts[0], flow.Local{AcceptNew: true, Cold: true})
 	warm, measure, end := x.lifetime/2, 4*x.lifetime, 5*x.lifetime
 	sum, sumPlain := map[model.HostID]float64{}, map[model.HostID]float64{}
 	for x.elapsed = 0; x.elapsed < end; x.elapsed += flow.TickInterval {
 		x.step(x.elapsed < warm)
 		if x.elapsed >= measure {
 			for _, f := range x.live {
-				sum[f.owner.Host] += f.work
+				sum[f.Owner.Host] += f.work
 				sumPlain[f.home] += f.work
 			}
 		}
@@ -219,36 +220,36 @@
 	}
 	kept := x.live[:0]
 	for _, f := range x.live {
-		if x.now.Before(f.end) {
+		if x.Now.Before(f.end) {
 			kept = append(kept, f)
 			continue
 		}
-		x.close(f.caller)
+		x.Close(f.Caller)
 	}
 	x.live = kept
 	if x.elapsed%(500*time.Millisecond) == 0 {
 		x.report(cold)
 	}
-	x.flush()
-	x.tick()
+	x.Flush()
+	x.Tick()
 }
 
 func (x *balance) arrive() {
-	c := &caller{key: benchKey(x.next)}
+	c := &flownet.Caller{Key: benchKey(x.next)}
 	x.next++
-	entry := x.next % len(x.entries)
-	x.send(c, entry, flow.FlagSYN)
-	x.flush()
-	x.update(c)
-	if !c.established {
-		x.t.Fatalf("flow %s is not accepted", c.key)
+	entry := x.next % len(x.Entries)
+	x.Send(c, entry, flow.FlagSYN)
+	x.Flush()
+	x.Update(c)
+	if !c.Established {
+		x.T.Fatalf("flow %s is not accepted", c.Key)
 	}
-	x.send(c, entry, 0)
-	x.flush()
-	home, _ := x.tables[x.newest()].Home(serviceID, routing.Bucket(99, c.key.Caller))
+	x.Send(c, entry, 0)
+	x.Flush()
+	home, _ := x.Tables[x.Newest()].Home(flownet.ServiceID, routing.Bucket(99, c.Key.Caller))
 	life := time.Duration(x.rng.ExpFloat64() * float64(x.lifetime))
 	x.live = append(x.live, &worker{
-		caller: c, work: math.Exp(x.rng.NormFloat64() * x.sigma), home: home, end: x.now.Add(life),
+		Caller: c, work: math.Exp(x.rng.NormFloat64() * x.sigma), home: home, end: x.Now.Add(life),
 	})
 }
 
@@ -256,11 +257,11 @@
 func (x *balance) report(cold bool) {
 	load := map[model.HostID]float64{}
 	for _, f := range x.live {
-		load[f.owner.Host] += f.work / 1000
+		load[f.Owner.Host] += f.work / 1000
 	}
 	load[x.hosts[len(x.hosts)-1]] = 0
 	for i, h := range x.hosts {
-		x.setLocal(h, flow.Local{AcceptNew: true, Load: load[h], Cold: cold && i == 0})
+		x.SetLocal(h, flow.Local{AcceptNew: true, Load: load[h], Cold: cold && i == 0})
 	}
 }
 
--- a/internal/flow/contract_test.go
+++ b/internal/flow/contract_test.go
@@ -10,9 +10,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/flow"
-	"github.com/plantainseam/plantainseam/internal/flow/wire"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/standin/flownet"
 )
 
 // Guards against a machine that breaks the promises of the Machine interface.
@@ -22,42 +22,42 @@
 	}
 	cases := map[string]func(g *WithT, m flow.Machine){
 		"actions are appended": func(g *WithT, m flow.Machine) {
-			out := m.Packet(start, syn(1), []flow.Action{{Kind: flow.ActionFetch}})
+			out := m.Packet(flownet.Start, syn(1), []flow.Action{{Kind: flow.ActionFetch}})
 			g.Expect(out).To(HaveLen(2))
 			g.Expect(out[0].Kind).To(Equal(flow.ActionFetch))
 			g.Expect(out[1].Kind).To(Equal(flow.ActionDeliver))
 		},
 		"an older configuration is ignored": func(g *WithT, m flow.Machine) {
-			n := newNetwork(t, 1, "h1")
-			g.Expect(m.Apply(start, n.configs[0], n.tables[0], nil)).To(BeEmpty())
-			g.Expect(m.Packet(start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
+			n := flownet.New(t, 1, "h1")
+			g.Expect(m.Apply(flownet.Start, n.Configs[0], n.Tables[0], nil)).To(BeEmpty())
+			g.Expect(m.Packet(flownet.Start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
 		},
 		"a repeated SYN reaches the same owner": func(g *WithT, m flow.Machine) {
 			for range 3 {
-				g.Expect(m.Packet(start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
+				g.Expect(m.Packet(flownet.Start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
 			}
 			g.Expect(m.Stats()).To(Equal(flow.Stats{Owned: 1, HalfOpen: 1}))
 		},
 		"an established flow leaves the half-open table": func(g *WithT, m flow.Machine) {
-			m.Packet(start, syn(1), nil)
+			m.Packet(flownet.Start, syn(1), nil)
 			m.Established(benchKey(1))
 			m.Established(benchKey(1))
 			m.Established(benchKey(2))
 			g.Expect(m.Stats()).To(Equal(flow.Stats{Owned: 1}))
 		},
 		"a closed flow is forgotten once": func(g *WithT, m flow.Machine) {
-			m.Packet(start, syn(1), nil)
+			m.Packet(flownet.Start, syn(1), nil)
 			m.Established(benchKey(1))
-			m.Closed(start, benchKey(1))
-			m.Closed(start, benchKey(1))
+			m.Closed(flownet.Start, benchKey(1))
+			m.Closed(flownet.Start, benchKey(1))
 			g.Expect(m.Stats()).To(BeZero())
 			data := flow.Packet{Key: benchKey(1), Generation: 1}
-			g.Expect(m.Packet(start, data, nil)[0].Kind).To(Equal(flow.ActionReset))
+			g.Expect(m.Packet(flownet.Start, data, nil)[0].Kind).To(Equal(flow.ActionReset))
 		},
 		"a handshake survives a clock that is set back": func(g *WithT, m flow.Machine) {
-			m.Packet(start, syn(1), nil)
+			m.Packet(flownet.Start, syn(1), nil)
 			for range 40 { // the scan for old handshakes visits the whole table
-				for _, a := range m.Tick(start.Add(-time.Minute), nil) {
+				for _, a := range m.Tick(flownet.Start.Add(-time.Minute), nil) {
 					g.Expect(a.Kind).NotTo(Equal(flow.ActionCloseLocal))
 				}
 			}
@@ -65,11 +65,11 @@
 		},
 		"a reset is not answered with a reset": func(g *WithT, m flow.Machine) {
 			p := flow.Packet{Key: benchKey(1), Flags: flow.FlagRST, Generation: 1}
-			g.Expect(m.Packet(start, p, nil)[0].Kind).To(Equal(flow.ActionDrop))
+			g.Expect(m.Packet(flownet.Start, p, nil)[0].Kind).To(Equal(flow.ActionDrop))
 		},
 		"a half-open flow expires": func(g *WithT, m flow.Machine) {
-			m.Packet(start, syn(1), nil)
-			out := m.Tick(start.Add(31*time.Second), nil)
+			m.Packet(flownet.Start, syn(1), nil)
+			out := m.Tick(flownet.Start.Add(31*time.Second), nil)
 			g.Expect(out).To(HaveLen(1))
 			g.Expect(out[0].Kind).To(Equal(flow.ActionCloseLocal))
 			g.Expect(out[0].Packet.Key).To(Equal(benchKey(1)))
@@ -77,36 +77,36 @@
 		},
 		"without a lease no flow is accepted": func(g *WithT, m flow.Machine) {
 			m.SetLocal(flow.Local{})
-			out := m.Packet(start, syn(1), nil)
+			out := m.Packet(flownet.Start, syn(1), nil)
 			g.Expect(out[0].Kind).To(Equal(flow.ActionDrop))
 			g.Expect(out[0].Code).To(Equal(result.FlowLeaseExpired))
 		},
 		"a closing service refuses new flows and keeps old ones": func(g *WithT, m flow.Machine) {
-			m.Packet(start, syn(1), nil)
-			n := newNetwork(t, 1, "h1")
-			revision := n.change(func(_ *model.Snapshot, svc *model.Service) { svc.Closing = true })
-			m.Apply(start, n.configs[revision], n.tables[revision], nil)
-			g.Expect(m.Packet(start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
-			g.Expect(m.Packet(start, syn(2), nil)[0].Code).To(Equal(result.FlowServiceClosing))
+			m.Packet(flownet.Start, syn(1), nil)
+			n := flownet.New(t, 1, "h1")
+			revision := n.Change(func(_ *model.Snapshot, svc *model.Service) { svc.Closing = true })
+			m.Apply(flownet.Start, n.Configs[revision], n.Tables[revision], nil)
+			g.Expect(m.Packet(flownet.Start, syn(1), nil)[0].Kind).To(Equal(flow.ActionDeliver))
+			g.Expect(m.Packet(flownet.Start, syn(2), nil)[0].Code).To(Equal(result.FlowServiceClosing))
 		},
 		"unknown and foreign messages are ignored": func(g *WithT, m flow.Machine) {
 			from := model.HostRef{Host: "elsewhere", Incarnation: 1}
 			for _, msg := range []flow.Message{
-				flow.Register{Service: 99, Seal: true}, flow.RegisterAck{Service: serviceID}, flow.Load{Service: 99},
-				flow.Answer{Service: serviceID, Incarnation: 1}, flow.Release{Service: serviceID},
+				flow.Register{Service: 99, Seal: true}, flow.RegisterAck{Service: flownet.ServiceID}, flow.Load{Service: 99},
+				flow.Answer{Service: flownet.ServiceID, Incarnation: 1}, flow.Release{Service: flownet.ServiceID},
 			} {
-				g.Expect(m.Message(start, from, msg, nil)).To(BeEmpty())
+				g.Expect(m.Message(flownet.Start, from, msg, nil)).To(BeEmpty())
 			}
 		},
 		"IPv6 callers have flows of their own": func(g *WithT, m flow.Machine) {
 			p := syn(1)
 			p.Key.Caller = netip.MustParseAddrPort("[2001:db8::7]:4002")
-			m.Packet(start, p, nil)
+			m.Packet(flownet.Start, p, nil)
 			m.Established(p.Key)
 			p.Flags = 0
-			g.Expect(m.Packet(start, p, nil)[0].Kind).To(Equal(flow.ActionDeliver))
+			g.Expect(m.Packet(flownet.Start, p, nil)[0].Kind).To(Equal(flow.ActionDeliver))
 			p.Key.Caller = netip.MustParseAddrPort("[2001:db8::8]:4002")
-			g.Expect(m.Packet(start, p, nil)[0].Kind).To(Equal(flow.ActionReset))
+			g.Expect(m.Packet(flownet.Start, p, nil)[0].Kind).To(Equal(flow.ActionReset))
 		},
 	}
 	for name, check := range cases {
@@ -116,35 +116,25 @@
 
 // Guards against outputs that depend on anything but the inputs, such as the order of a map.
 func TestMachineIsDeterministic(t *testing.T) {
-	history := func() *network {
-		n := newNetwork(t, 3, hosts...)
+	history := func() *flownet.Network {
+		n := flownet.New(t, 3, hosts...)
 		for i := range 50 {
-			n.setLocal(hosts[i%4], flow.Local{AcceptNew: i%3 != 0})
-			n.connect(i, i%3)
+			n.SetLocal(hosts[i%4], flow.Local{AcceptNew: i%3 != 0})
+			n.Connect(i, i%3)
 		}
-		n.restart("h2")
-		n.moveHome(&caller{key: callerKey(1)})
+		n.Restart("h2")
+		n.MoveHome(&flownet.Caller{Key: flownet.CallerKey(1)})
 		for range 4 {
-			n.tick()
+			n.Tick()
 		}
 		return n
 	}
 	a, b := history(), history()
-	if !reflect.DeepEqual(a.queue, b.queue) || !reflect.DeepEqual(a.drops, b.drops) {
+	if !reflect.DeepEqual(a.Queue, b.Queue) || !reflect.DeepEqual(a.Drops, b.Drops) {
 		t.Fatalf("two runs of one history differ")
 	}
 }
 
-// inject delivers a message as if it had been under way.
-func (n *network) inject(from model.HostRef, to model.HostID, m flow.Message) {
-	data, err := wire.Encode(m)
-	if err != nil {
-		n.t.Fatalf("encode: %v", err)
-	}
-	n.queue = append(n.queue, parcel{to: to, from: from, data: data})
-	n.run(time.Second)
-}
-
 // Guards against late messages about an earlier flow or an earlier run that delete the redirect to a live owner: the
 // home would accept the next SYN as a second owner.
 func TestLateMessages(t *testing.T) {
@@ -167,31 +157,31 @@
 				continue // a Release names no run of the home
 			}
 			t.Run(fmt.Sprintf("%s/%d", name, kind), func(t *testing.T) {
-				n := newNetwork(t, 2, hosts...)
-				flowOf := n.assigned()
-				n.inForce("h1", model.UpstreamDraining)
-				n.run(time.Second)
-				generation := model.Revision(n.newest())
-				n.inForce("h1", model.UpstreamActive)
-				n.run(time.Second)
+				n := flownet.New(t, 2, hosts...)
+				flowOf := n.Assigned()
+				n.InForce("h1", model.UpstreamDraining)
+				n.Run(time.Second)
+				generation := model.Revision(n.Newest())
+				n.InForce("h1", model.UpstreamActive)
+				n.Run(time.Second)
 				if c.generation == newer {
-					generation = model.Revision(n.newest())
+					generation = model.Revision(n.Newest())
 				}
-				callers := []netip.AddrPort{flowOf.key.Caller}
+				callers := []netip.AddrPort{flowOf.Key.Caller}
 				msg := []flow.Message{
-					flow.Release{Service: serviceID, Generation: generation, Sequence: c.sequence, Callers: callers},
+					flow.Release{Service: flownet.ServiceID, Generation: generation, Sequence: c.sequence, Callers: callers},
 					flow.Decline{
-						Service: serviceID, HomeIncarnation: c.home, Caller: callers[0], Generation: generation,
+						Service: flownet.ServiceID, HomeIncarnation: c.home, Caller: callers[0], Generation: generation,
 						Sequence: c.sequence,
 					},
 					flow.Answer{
-						Service: serviceID, Generation: generation, Incarnation: c.home, Sequence: c.sequence, Free: callers,
+						Service: flownet.ServiceID, Generation: generation, Incarnation: c.home, Sequence: c.sequence, Free: callers,
 						Audit: true,
 					},
 				}[kind]
-				from := model.HostRef{Host: flowOf.owner.Host, Incarnation: c.incarnation}
-				n.inject(from, "h1", msg)
-				if got := n.agents["h1"].Stats().Redirects == 0; got != c.deleted {
+				from := model.HostRef{Host: flowOf.Owner.Host, Incarnation: c.incarnation}
+				n.Inject(from, "h1", msg)
+				if got := n.Agents["h1"].Stats().Redirects == 0; got != c.deleted {
 					t.Fatalf("redirect deleted: %v, want %v", got, c.deleted)
 				}
 			})
@@ -201,12 +191,12 @@
 
 // Guards against a member that lets an outdated home act.
 func TestQueryOfOutdatedHome(t *testing.T) {
-	n := newNetwork(t, 1, hosts...)
-	c := &caller{key: callerKey(n.homedAt("h1"))}
-	first := n.newest()
-	n.inForce("h1", model.UpstreamDraining)
-	second, h2 := n.newest(), n.home(c, n.newest())
-	n.inForce("h1", model.UpstreamActive)
+	n := flownet.New(t, 1, hosts...)
+	c := &flownet.Caller{Key: flownet.CallerKey(n.HomedAt("h1"))}
+	first := n.Newest()
+	n.InForce("h1", model.UpstreamDraining)
+	second, h2 := n.Newest(), n.Home(c, n.Newest())
+	n.InForce("h1", model.UpstreamActive)
 	member := model.HostID("h3")
 	if h2 == member {
 		member = "h4"
@@ -218,13 +208,13 @@
 	}{
 		"earlier time of the home": {"h1", first, false},
 		"earlier home":             {h2, second, false},
-		"not the home":             {h2, n.newest(), false},
-		"home":                     {"h1", n.newest(), true},
+		"not the home":             {h2, n.Newest(), false},
+		"home":                     {"h1", n.Newest(), true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			out := n.agents[member].Message(n.now, n.agents[q.from].ref, flow.Query{
-				Service: serviceID, Generation: model.Revision(q.generation), Callers: []netip.AddrPort{c.key.Caller},
+			out := n.Agents[member].Message(n.Now, n.Agents[q.from].Ref, flow.Query{
+				Service: flownet.ServiceID, Generation: model.Revision(q.generation), Callers: []netip.AddrPort{c.Key.Caller},
 			}, nil)
 			g.Expect(out).To(HaveLen(1))
 			answer := out[0].Message.(flow.Answer)
@@ -243,37 +233,37 @@
 }
 
 func testLostMemberReturns(t *testing.T, skipped, home bool) {
-	n := newNetwork(t, 2, hosts...)
-	connect := n.assigned
+	n := flownet.New(t, 2, hosts...)
+	connect := n.Assigned
 	if home {
-		connect = func() *caller { return n.connect(n.homedAt("h1"), 0) }
+		connect = func() *flownet.Caller { return n.Connect(n.HomedAt("h1"), 0) }
 	}
 	reused, idle := connect(), connect()
-	for idle.owner != reused.owner {
+	for idle.Owner != reused.Owner {
 		idle = connect()
 	}
-	lost := reused.owner.Host
-	n.setLocal(lost, flow.Local{AcceptNew: false})
-	revision := n.state(lost, model.UpstreamLost)
-	n.agents[lost].alive = false // isolated: it neither sends nor receives
-	n.applyAll()
-	n.run(16 * time.Second)
-	n.setLocal("h1", flow.Local{AcceptNew: false}) // the home assigns the new flow
-	second := n.reconnect(reused)
-	n.agents[lost].alive = true
-	n.apply(lost, revision)
-	n.state(lost, model.UpstreamActive)
+	lost := reused.Owner.Host
+	n.SetLocal(lost, flow.Local{AcceptNew: false})
+	revision := n.State(lost, model.UpstreamLost)
+	n.Agents[lost].Alive = false // isolated: it neither sends nor receives
+	n.ApplyAll()
+	n.Run(16 * time.Second)
+	n.SetLocal("h1", flow.Local{AcceptNew: false}) // the home assigns the new flow
+	second := n.Reconnect(reused)
+	n.Agents[lost].Alive = true
+	n.Apply(lost, revision)
+	n.State(lost, model.UpstreamActive)
 	if skipped {
-		n.state(lost, model.UpstreamDraining)
+		n.State(lost, model.UpstreamDraining)
 	}
-	n.applyAll()
-	n.send(idle, 0, 0)
-	n.flush() // the home has deleted its redirect and must ask
+	n.ApplyAll()
+	n.Send(idle, 0, 0)
+	n.Flush() // the home has deleted its redirect and must ask
 	// The returned member registers before any other has confirmed its flows under the new generation.
-	n.runLosing(4, func(p parcel) bool { return is[flow.Register](p) && p.from.Host != lost })
-	n.run(2 * time.Second)
-	if owners := n.owners(reused.key); len(owners) != 1 || owners[0] != second.owner.Host {
-		t.Fatalf("owners %v, want %s", owners, second.owner.Host)
+	n.RunLosing(4, func(p flownet.Parcel) bool { return flownet.Holds[flow.Register](p) && p.From.Host != lost })
+	n.Run(2 * time.Second)
+	if owners := n.Owners(reused.Key); len(owners) != 1 || owners[0] != second.Owner.Host {
+		t.Fatalf("owners %v, want %s", owners, second.Owner.Host)
 	}
-	n.mustReach(idle, 1)
+	n.MustReach(idle, 1)
 }
--- a/internal/flow/fault_test.go
+++ b/internal/flow/fault_test.go
@@ -7,151 +7,112 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/plantainseam/plantainseam/internal/flow"
-	"github.com/plantainseam/plantainseam/internal/flow/wire"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/result"
-	"github.com/plantainseam/plantainseam/internal/routing"
+	"github.com/plantainseam/plantainseam/standin/flownet"
 )
 
-// home returns the home of a caller's bucket at a revision.
-func (n *network) home(c *caller, revision int) model.HostID {
-	h, _ := n.tables[revision].Home(serviceID, routing.Bucket(99, c.key.Caller))
-	return h
-}
-
-// homedAt returns the number of an unused caller whose home is the given host in the newest revision.
-func (n *network) homedAt(h model.HostID) int {
-	for i := 5000; ; i++ {
-		if c := (&caller{key: callerKey(i)}); n.home(c, n.newest()) == h && len(n.owners(c.key)) == 0 {
-			return i
-		}
-	}
-}
-
-// assigned opens a flow that its home assigns to another host.
-func (n *network) assigned() *caller {
-	n.setLocal("h1", flow.Local{AcceptNew: false})
-	c := n.connect(n.homedAt("h1"), 0)
-	n.setLocal("h1", flow.Local{AcceptNew: true})
-	if !c.established || c.owner.Host == "h1" {
-		n.t.Fatalf("flow was not assigned: %+v", c)
-	}
-	return c
-}
-
-// moveHome takes the home of a flow out of service and applies that everywhere.
-func (n *network) moveHome(c *caller) {
-	n.state(n.home(c, n.newest()), model.UpstreamDraining)
-	n.applyAll()
-}
-
-// declareLost crashes a host and has it declared lost.
-func (n *network) declareLost(h model.HostID) {
-	n.crash(h)
-	n.inForce(h, model.UpstreamLost)
-}
-
 // Guards against established flows that a fault elsewhere breaks. Each case starts from a flow that its home assigned to
 // another host; afterwards the flow must reach its owner through every entry VM.
 func TestEstablishedFlowSurvives(t *testing.T) {
-	cases := map[string]func(n *network, c *caller){
-		"entry VM lost": func(n *network, _ *caller) { n.entries = n.entries[1:] },
-		"entry VM joined with an older revision": func(n *network, c *caller) {
-			old := n.newest()
-			n.moveHome(c)
-			n.entries = append(n.entries, old)
+	cases := map[string]func(n *flownet.Network, c *flownet.Caller){
+		"entry VM lost": func(n *flownet.Network, _ *flownet.Caller) { n.Entries = n.Entries[1:] },
+		"entry VM joined with an older revision": func(n *flownet.Network, c *flownet.Caller) {
+			old := n.Newest()
+			n.MoveHome(c)
+			n.Entries = append(n.Entries, old)
 		},
-		"upstream added": func(n *network, _ *caller) {
-			added := n.change(func(s *model.Snapshot, svc *model.Service) {
+		"upstream added": func(n *flownet.Network, _ *flownet.Caller) {
+			added := n.Change(func(s *model.Snapshot, svc *model.Service) {
 				svc.Members = append(svc.Members, model.Member{Host: "h9", State: model.UpstreamActive})
 				s.Upstreams["h9"] = &model.Upstream{Ref: model.HostRef{Host: "h9", Incarnation: 1}, Slots: 3}
 			})
-			n.boot("h9", 1, added)
-			n.applyAll()
+			n.Boot("h9", 1, added)
+			n.ApplyAll()
 		},
-		"upstream removed without its flows": func(n *network, c *caller) {
-			n.change(func(_ *model.Snapshot, svc *model.Service) {
+		"upstream removed without its flows": func(n *flownet.Network, c *flownet.Caller) {
+			n.Change(func(_ *model.Snapshot, svc *model.Service) {
 				for i, m := range svc.Members {
-					if m.Host == c.owner.Host {
+					if m.Host == c.Owner.Host {
 						svc.Members = append(svc.Members[:i], svc.Members[i+1:]...)
 						break
 					}
 				}
 			})
-			n.applyAll()
-			n.run(16 * time.Second)
+			n.ApplyAll()
+			n.Run(16 * time.Second)
 		},
-		"owner drained": func(n *network, c *caller) {
-			n.inForce(c.owner.Host, model.UpstreamDraining)
+		"owner drained": func(n *flownet.Network, c *flownet.Caller) {
+			n.InForce(c.Owner.Host, model.UpstreamDraining)
 		},
-		"home drained":        func(n *network, c *caller) { n.moveHome(c) },
-		"home restarted":      func(n *network, _ *caller) { n.restart("h1"); n.applyAll() },
-		"home dead":           func(n *network, _ *caller) { n.declareLost("h1") },
-		"home dead, no delay": func(n *network, c *caller) { n.declareLost("h1"); n.send(c, 0, 0); n.flush() },
-		"owner slow to learn the configuration": func(n *network, c *caller) {
-			n.state("h1", model.UpstreamDraining)
-			for _, h := range n.order {
-				if h != c.owner.Host {
-					n.apply(h, n.newest())
+		"home drained":        func(n *flownet.Network, c *flownet.Caller) { n.MoveHome(c) },
+		"home restarted":      func(n *flownet.Network, _ *flownet.Caller) { n.Restart("h1"); n.ApplyAll() },
+		"home dead":           func(n *flownet.Network, _ *flownet.Caller) { n.DeclareLost("h1") },
+		"home dead, no delay": func(n *flownet.Network, c *flownet.Caller) { n.DeclareLost("h1"); n.Send(c, 0, 0); n.Flush() },
+		"owner slow to learn the configuration": func(n *flownet.Network, c *flownet.Caller) {
+			n.State("h1", model.UpstreamDraining)
+			for _, h := range n.Order {
+				if h != c.Owner.Host {
+					n.Apply(h, n.Newest())
 				}
 			}
-			n.entries[0] = n.newest()
+			n.Entries[0] = n.Newest()
 		},
-		"home slow to learn the configuration": func(n *network, c *caller) {
+		"home slow to learn the configuration": func(n *flownet.Network, c *flownet.Caller) {
 			for _, h := range []model.HostID{"h2", "h3"} {
-				if h != c.owner.Host {
-					n.state(h, model.UpstreamDraining)
+				if h != c.Owner.Host {
+					n.State(h, model.UpstreamDraining)
 					break
 				}
 			}
-			for i, h := range n.order {
+			for i, h := range n.Order {
 				if i > 0 {
-					n.apply(h, n.newest())
+					n.Apply(h, n.Newest())
 				}
 			}
-			n.entries[0] = n.newest()
+			n.Entries[0] = n.Newest()
 		},
-		"two revisions at once": func(n *network, c *caller) {
-			n.state("h1", model.UpstreamDraining)
-			n.entries[1] = n.newest()
-			n.apply(n.home(c, n.newest()), n.newest())
+		"two revisions at once": func(n *flownet.Network, c *flownet.Caller) {
+			n.State("h1", model.UpstreamDraining)
+			n.Entries[1] = n.Newest()
+			n.Apply(n.Home(c, n.Newest()), n.Newest())
 		},
-		"home moved five times": func(n *network, c *caller) {
-			first := n.home(c, n.newest())
-			n.moveHome(c)
-			second := n.home(c, n.newest())
+		"home moved five times": func(n *flownet.Network, c *flownet.Caller) {
+			first := n.Home(c, n.Newest())
+			n.MoveHome(c)
+			second := n.Home(c, n.Newest())
 			steps := []func(){
-				func() { n.state(second, model.UpstreamDraining) }, func() { n.state(first, model.UpstreamActive) },
-				func() { n.state(first, model.UpstreamDraining) }, func() { n.state(second, model.UpstreamActive) },
+				func() { n.State(second, model.UpstreamDraining) }, func() { n.State(first, model.UpstreamActive) },
+				func() { n.State(first, model.UpstreamDraining) }, func() { n.State(second, model.UpstreamActive) },
 			}
 			for i, step := range steps {
-				before := n.home(c, n.newest())
+				before := n.Home(c, n.Newest())
 				step()
-				if n.home(c, n.newest()) == before {
-					n.t.Fatalf("home did not move in step %d", i)
+				if n.Home(c, n.Newest()) == before {
+					n.T.Fatalf("home did not move in step %d", i)
 				}
-				n.applyAll()
-				n.entries[1] = n.newest() - 1
-				n.send(c, i%3, 0)
-				n.flush()
+				n.ApplyAll()
+				n.Entries[1] = n.Newest() - 1
+				n.Send(c, i%3, 0)
+				n.Flush()
 			}
 		},
-		"messages lost while the home moves": func(n *network, c *caller) {
-			n.moveHome(c)
+		"messages lost while the home moves": func(n *flownet.Network, c *flownet.Caller) {
+			n.MoveHome(c)
 			for range 20 {
-				n.tick()
-				n.queue = nil
+				n.Tick()
+				n.Queue = nil
 			}
 		},
-		"redirect audited": func(n *network, _ *caller) { n.run(90 * time.Second) },
+		"redirect audited": func(n *flownet.Network, _ *flownet.Caller) { n.Run(90 * time.Second) },
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
-			n := newNetwork(t, 3, hosts...)
-			c := n.assigned()
+			n := flownet.New(t, 3, hosts...)
+			c := n.Assigned()
 			fault(n, c)
-			for e := range n.entries {
-				n.mustReach(c, e)
+			for e := range n.Entries {
+				n.MustReach(c, e)
 			}
 		})
 	}
@@ -160,92 +121,92 @@
 // Guards against a retransmitted SYN that gets several owners because entry VMs and agents have different revisions.
 func TestSYNThroughThreeEntries(t *testing.T) {
 	for _, order := range [][3]int{{0, 1, 2}, {2, 1, 0}, {1, 2, 0}, {2, 0, 1}} {
-		n := newNetwork(t, 3, hosts...)
-		c := &caller{key: callerKey(n.homedAt("h1"))}
-		n.state("h1", model.UpstreamDraining)
-		n.entries[1] = n.newest()
-		n.state(n.home(c, n.newest()), model.UpstreamDraining)
-		n.entries[2] = n.newest()
+		n := flownet.New(t, 3, hosts...)
+		c := &flownet.Caller{Key: flownet.CallerKey(n.HomedAt("h1"))}
+		n.State("h1", model.UpstreamDraining)
+		n.Entries[1] = n.Newest()
+		n.State(n.Home(c, n.Newest()), model.UpstreamDraining)
+		n.Entries[2] = n.Newest()
 		// Every agent keeps another revision; h1 learns last.
-		n.apply("h2", 2)
-		n.apply("h3", 3)
+		n.Apply("h2", 2)
+		n.Apply("h3", 3)
 		for _, e := range order {
-			n.send(c, e, flow.FlagSYN)
-			n.flush()
+			n.Send(c, e, flow.FlagSYN)
+			n.Flush()
 		}
-		n.applyAll()
-		n.run(time.Second)
-		n.send(c, 0, flow.FlagSYN)
-		n.run(time.Second)
-		n.update(c)
-		if !c.established || !n.reaches(c, 2) {
-			t.Fatalf("order %v: flow has owners %v", order, n.owners(c.key))
+		n.ApplyAll()
+		n.Run(time.Second)
+		n.Send(c, 0, flow.FlagSYN)
+		n.Run(time.Second)
+		n.Update(c)
+		if !c.Established || !n.Reaches(c, 2) {
+			t.Fatalf("order %v: flow has owners %v", order, n.Owners(c.Key))
 		}
 	}
 }
 
 // Guards against an owner that accepts a delayed assignment from an earlier time of the home, which has forgotten it.
 func TestDelayedAssignment(t *testing.T) {
-	cases := map[string]func(n *network, c *caller, delayed parcel){
-		"home left and returned": func(n *network, c *caller, _ parcel) {
-			n.inForce("h1", model.UpstreamDraining)
-			n.run(time.Second)
-			n.inForce("h1", model.UpstreamActive)
+	cases := map[string]func(n *flownet.Network, c *flownet.Caller, delayed flownet.Parcel){
+		"home left and returned": func(n *flownet.Network, c *flownet.Caller, _ flownet.Parcel) {
+			n.InForce("h1", model.UpstreamDraining)
+			n.Run(time.Second)
+			n.InForce("h1", model.UpstreamActive)
 		},
-		"home restarted": func(n *network, _ *caller, _ parcel) { n.restart("h1"); n.applyAll() },
-		"owner restarted": func(n *network, c *caller, _ parcel) {
+		"home restarted": func(n *flownet.Network, _ *flownet.Caller, _ flownet.Parcel) { n.Restart("h1"); n.ApplyAll() },
+		"owner restarted": func(n *flownet.Network, c *flownet.Caller, _ flownet.Parcel) {
 			for _, h := range []model.HostID{"h2", "h3", "h4"} {
-				n.restart(h)
+				n.Restart(h)
 			}
-			n.applyAll()
+			n.ApplyAll()
 		},
-		"flow ended": func(n *network, c *caller, delayed parcel) {
-			n.queue = append(n.queue, delayed)
-			n.flush()
-			n.update(c)
-			n.send(c, 0, 0)
-			n.run(time.Second)
-			n.close(c)
-			n.run(100 * time.Millisecond)
+		"flow ended": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Parcel) {
+			n.Queue = append(n.Queue, delayed)
+			n.Flush()
+			n.Update(c)
+			n.Send(c, 0, 0)
+			n.Run(time.Second)
+			n.Close(c)
+			n.Run(100 * time.Millisecond)
 		},
-		"assignment declined": func(n *network, c *caller, delayed parcel) {
-			n.setLocal(delayed.to, flow.Local{AcceptNew: false})
-			n.queue = append(n.queue, delayed)
-			n.flush()
-			n.setLocal(delayed.to, flow.Local{AcceptNew: true})
+		"assignment declined": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Parcel) {
+			n.SetLocal(delayed.To, flow.Local{AcceptNew: false})
+			n.Queue = append(n.Queue, delayed)
+			n.Flush()
+			n.SetLocal(delayed.To, flow.Local{AcceptNew: true})
 		},
-		"assignment audited": func(n *network, c *caller, delayed parcel) {
-			n.run(50 * time.Second)
+		"assignment audited": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Parcel) {
+			n.Run(50 * time.Second)
 		},
-		"bucket promised to a newer home": func(n *network, c *caller, _ parcel) {
-			revision := n.state("h1", model.UpstreamDraining)
-			n.apply(n.home(c, revision), revision)
-			n.entries[1] = revision
-			n.send(c, 1, flow.FlagSYN)
-			n.flush()
+		"bucket promised to a newer home": func(n *flownet.Network, c *flownet.Caller, _ flownet.Parcel) {
+			revision := n.State("h1", model.UpstreamDraining)
+			n.Apply(n.Home(c, revision), revision)
+			n.Entries[1] = revision
+			n.Send(c, 1, flow.FlagSYN)
+			n.Flush()
 		},
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
-			n := newNetwork(t, 2, hosts...)
-			n.setLocal("h1", flow.Local{AcceptNew: false})
-			c := &caller{key: callerKey(n.homedAt("h1"))}
-			n.send(c, 0, flow.FlagSYN)
-			n.deliver(0, false)
-			if len(n.queue) != 1 || !n.queue[0].packet.Assigned {
+			n := flownet.New(t, 2, hosts...)
+			n.SetLocal("h1", flow.Local{AcceptNew: false})
+			c := &flownet.Caller{Key: flownet.CallerKey(n.HomedAt("h1"))}
+			n.Send(c, 0, flow.FlagSYN)
+			n.Deliver(0, false)
+			if len(n.Queue) != 1 || !n.Queue[0].Packet.Assigned {
 				t.Fatalf("the home did not assign the flow")
 			}
-			delayed := n.queue[0]
-			n.queue = nil
-			n.setLocal("h1", flow.Local{AcceptNew: true})
+			delayed := n.Queue[0]
+			n.Queue = nil
+			n.SetLocal("h1", flow.Local{AcceptNew: true})
 			fault(n, c, delayed)
-			n.run(time.Second)
-			n.send(c, 0, flow.FlagSYN)
-			n.run(time.Second)
-			owners := n.owners(c.key)
-			n.queue = append(n.queue, delayed)
-			n.run(time.Second)
-			if now := n.owners(c.key); len(owners) != 1 || len(now) != 1 || now[0] != owners[0] {
+			n.Run(time.Second)
+			n.Send(c, 0, flow.FlagSYN)
+			n.Run(time.Second)
+			owners := n.Owners(c.Key)
+			n.Queue = append(n.Queue, delayed)
+			n.Run(time.Second)
+			if now := n.Owners(c.Key); len(owners) != 1 || len(now) != 1 || now[0] != owners[0] {
 				t.Fatalf("owners %v became %v", owners, now)
 			}
 		})
@@ -256,37 +217,37 @@
 // member longer than a retransmission.
 func TestLostMember(t *testing.T) {
 	g := NewWithT(t)
-	n := newNetwork(t, 2, hosts...)
-	c := n.connect(n.homedAt("h2"), 0)
-	g.Expect(c.owner.Host).To(Equal(model.HostID("h2")))
-	n.declareLost("h2")
-	n.run(time.Second)
-	n.send(c, 0, 0)
-	n.run(13 * time.Second)
-	g.Expect(n.resets).To(BeEmpty(), "packets may reach the owner for 15 s")
-	fresh := n.connect(6000, 1)
-	g.Expect(fresh.established).To(BeTrue())
-	n.run(2 * time.Second)
-	n.send(c, 0, 0)
-	n.run(time.Second)
-	g.Expect(n.resets).To(Equal(map[result.Code]int{result.FlowUnknown: 1}))
+	n := flownet.New(t, 2, hosts...)
+	c := n.Connect(n.HomedAt("h2"), 0)
+	g.Expect(c.Owner.Host).To(Equal(model.HostID("h2")))
+	n.DeclareLost("h2")
+	n.Run(time.Second)
+	n.Send(c, 0, 0)
+	n.Run(13 * time.Second)
+	g.Expect(n.Resets).To(BeEmpty(), "packets may reach the owner for 15 s")
+	fresh := n.Connect(6000, 1)
+	g.Expect(fresh.Established).To(BeTrue())
+	n.Run(2 * time.Second)
+	n.Send(c, 0, 0)
+	n.Run(time.Second)
+	g.Expect(n.Resets).To(Equal(map[result.Code]int{result.FlowUnknown: 1}))
 }
 
 // Guards against a member that is declared lost although it lives: its flows must go on while packets reach it.
 func TestLostButAlive(t *testing.T) {
-	n := newNetwork(t, 2, hosts...)
-	c := n.connect(n.homedAt("h2"), 0)
-	n.setLocal("h2", flow.Local{AcceptNew: false})
-	lost := n.state("h2", model.UpstreamLost)
+	n := flownet.New(t, 2, hosts...)
+	c := n.Connect(n.HomedAt("h2"), 0)
+	n.SetLocal("h2", flow.Local{AcceptNew: false})
+	lost := n.State("h2", model.UpstreamLost)
 	for _, h := range []model.HostID{"h1", "h3", "h4"} {
-		n.apply(h, lost)
+		n.Apply(h, lost)
 	}
-	n.entries[0], n.entries[1] = lost, lost
+	n.Entries[0], n.Entries[1] = lost, lost
 	for range 5 {
-		n.mustReach(c, 0)
+		n.MustReach(c, 0)
 	}
-	n.inForce("h2", model.UpstreamActive)
-	n.mustReach(c, 1)
+	n.InForce("h2", model.UpstreamActive)
+	n.MustReach(c, 1)
 }
 
 // Guards against packets of a service that the host does not carry.
@@ -298,20 +259,20 @@
 		"unknown":  {flow.Packet{Key: model.FlowKey{Service: 99}, Flags: flow.FlagSYN}, result.FlowUnknownService},
 		"assigned": {flow.Packet{Key: model.FlowKey{Service: 8}, Flags: flow.FlagSYN, Assigned: true}, result.FlowWrongService},
 		"forwarded": {
-			flow.Packet{Key: model.FlowKey{Service: 8, Caller: callerKey(1).Caller}, Hops: 1, Generation: 2},
+			flow.Packet{Key: model.FlowKey{Service: 8, Caller: flownet.CallerKey(1).Caller}, Hops: 1, Generation: 2},
 			result.FlowWrongService,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			n := newNetwork(t, 1, hosts...)
-			n.change(func(s *model.Snapshot, _ *model.Service) {
+			n := flownet.New(t, 1, hosts...)
+			n.Change(func(s *model.Snapshot, _ *model.Service) {
 				s.Services[8] = &model.Service{
 					ID: 8, Generation: 2, Members: []model.Member{{Host: "other", State: model.UpstreamActive}},
 				}
 			})
-			n.applyAll()
-			actions := n.agents["h1"].Packet(n.now, c.packet, nil)
+			n.ApplyAll()
+			actions := n.Agents["h1"].Packet(n.Now, c.packet, nil)
 			g.Expect(actions).To(HaveLen(1))
 			g.Expect(actions[0].Kind).To(Equal(flow.ActionDrop))
 			g.Expect(actions[0].Code).To(Equal(c.code))
@@ -322,22 +283,22 @@
 // Guards against an agent that acts under an older configuration than the packet's, or holds without bound.
 func TestBehindPacket(t *testing.T) {
 	g := NewWithT(t)
-	n := newNetwork(t, 1, hosts...)
-	c := &caller{key: callerKey(n.homedAt("h1"))}
-	n.state("h2", model.UpstreamDraining)
-	n.entries[0] = n.newest()
-	a := n.agents["h1"]
-	p := flow.Packet{Key: c.key, Flags: flow.FlagSYN, Generation: model.Revision(n.newest()), Raw: []byte("packet")}
-	actions := a.Packet(n.now, p, nil)
+	n := flownet.New(t, 1, hosts...)
+	c := &flownet.Caller{Key: flownet.CallerKey(n.HomedAt("h1"))}
+	n.State("h2", model.UpstreamDraining)
+	n.Entries[0] = n.Newest()
+	a := n.Agents["h1"]
+	p := flow.Packet{Key: c.Key, Flags: flow.FlagSYN, Generation: model.Revision(n.Newest()), Raw: []byte("packet")}
+	actions := a.Packet(n.Now, p, nil)
 	g.Expect(actions).To(HaveLen(1))
 	g.Expect(actions[0].Kind).To(Equal(flow.ActionFetch))
 	p.Raw[0] = 'X' // the caller of Packet reuses its buffer
 	for range 2 * flow.DefaultMaxHeld {
-		actions = a.Packet(n.now, p, actions)
+		actions = a.Packet(n.Now, p, actions)
 	}
 	g.Expect(actions[len(actions)-1].Code).To(Equal(result.FlowHoldQueueFull))
 	g.Expect(a.Stats().Held).To(Equal(flow.DefaultMaxHeld / 2))
-	actions = a.Apply(n.now, n.configs[n.newest()], n.tables[n.newest()], nil)
+	actions = a.Apply(n.Now, n.Configs[n.Newest()], n.Tables[n.Newest()], nil)
 	g.Expect(actions[0].Kind).To(Equal(flow.ActionDeliver))
 	g.Expect(string(actions[0].Packet.Raw)).To(Equal("packet"))
 	g.Expect(a.Stats().Held).To(BeZero())
@@ -346,164 +307,157 @@
 // Guards against a SYN flood that displaces established flows or grows a table without bound.
 func TestSYNFlood(t *testing.T) {
 	g := NewWithT(t)
-	n := newNetwork(t, 1, hosts...)
-	c := n.assigned()
+	n := flownet.New(t, 1, hosts...)
+	c := n.Assigned()
 	for i := range 40000 {
-		n.send(&caller{key: benchKey(i)}, 0, flow.FlagSYN)
-		n.flush()
+		n.Send(&flownet.Caller{Key: benchKey(i)}, 0, flow.FlagSYN)
+		n.Flush()
 	}
 	for _, h := range hosts {
-		s := n.agents[h].Stats()
+		s := n.Agents[h].Stats()
 		g.Expect(s.HalfOpen).To(BeNumerically("<=", flow.DefaultMaxHalfOpen))
 		g.Expect(s.Owned).To(BeNumerically("<=", 2000))
 	}
-	g.Expect(n.drops[result.FlowHalfOpenFull]).To(BeNumerically(">", 0))
-	g.Expect(n.resets).To(BeEmpty())
-	g.Expect(n.reaches(c, 0)).To(BeTrue())
-	n.run(50 * time.Second)
-	g.Expect(n.connect(n.homedAt("h2"), 0).established).To(BeTrue(), "half-open flows expire")
+	g.Expect(n.Drops[result.FlowHalfOpenFull]).To(BeNumerically(">", 0))
+	g.Expect(n.Resets).To(BeEmpty())
+	g.Expect(n.Reaches(c, 0)).To(BeTrue())
+	n.Run(50 * time.Second)
+	g.Expect(n.Connect(n.HomedAt("h2"), 0).Established).To(BeTrue(), "half-open flows expire")
 }
 
 // Guards against a full host that accepts, and against a full service that keeps callers waiting.
 func TestTableFull(t *testing.T) {
 	g := NewWithT(t)
-	n := newNetwork(t, 1, hosts...)
-	n.change(func(s *model.Snapshot, _ *model.Service) {
+	n := flownet.New(t, 1, hosts...)
+	n.Change(func(s *model.Snapshot, _ *model.Service) {
 		for h, up := range s.Upstreams {
 			small := *up
 			small.MaxConnections = 5
 			s.Upstreams[h] = &small
 		}
 	})
-	n.applyAll()
-	n.run(time.Second)
+	n.ApplyAll()
+	n.Run(time.Second)
 	accepted := 0
 	for i := range 40 {
-		if c := n.connect(i, 0); c.established {
+		if c := n.Connect(i, 0); c.Established {
 			accepted++
 		}
-		n.run(250 * time.Millisecond)
+		n.Run(250 * time.Millisecond)
 	}
 	g.Expect(accepted).To(Equal(20))
-	g.Expect(n.resets).To(Equal(map[result.Code]int{result.FlowTableFull: 20}))
+	g.Expect(n.Resets).To(Equal(map[result.Code]int{result.FlowTableFull: 20}))
 }
 
 // Guards against redirects that remain when the message about the end of a flow is lost, and against packets that two
 // agents then send back and forth.
 func TestLostRelease(t *testing.T) {
-	for name, notice := range map[string]func(n *network, c *caller){
-		"audit":  func(n *network, _ *caller) { n.run(5 * time.Second) },
-		"packet": func(n *network, c *caller) { n.send(c, 0, 0); n.flush() },
-		"SYN": func(n *network, c *caller) {
-			n.setLocal(c.owner.Host, flow.Local{})
-			n.send(c, 0, flow.FlagSYN)
-			n.flush()
+	for name, notice := range map[string]func(n *flownet.Network, c *flownet.Caller){
+		"audit":  func(n *flownet.Network, _ *flownet.Caller) { n.Run(5 * time.Second) },
+		"packet": func(n *flownet.Network, c *flownet.Caller) { n.Send(c, 0, 0); n.Flush() },
+		"SYN": func(n *flownet.Network, c *flownet.Caller) {
+			n.SetLocal(c.Owner.Host, flow.Local{})
+			n.Send(c, 0, flow.FlagSYN)
+			n.Flush()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			n := newNetwork(t, 1, hosts...)
-			c := n.assigned()
-			g.Expect(n.agents["h1"].Stats().Redirects).To(Equal(1))
-			n.close(c)
-			n.tick()
-			n.queue = nil
+			n := flownet.New(t, 1, hosts...)
+			c := n.Assigned()
+			g.Expect(n.Agents["h1"].Stats().Redirects).To(Equal(1))
+			n.Close(c)
+			n.Tick()
+			n.Queue = nil
 			notice(n, c)
 			if name == "SYN" {
-				g.Expect(n.owners(c.key)).To(HaveLen(1))
+				g.Expect(n.Owners(c.Key)).To(HaveLen(1))
 			} else {
-				g.Expect(n.agents["h1"].Stats().Redirects).To(BeZero())
+				g.Expect(n.Agents["h1"].Stats().Redirects).To(BeZero())
 			}
-			g.Expect(n.drops).NotTo(HaveKey(result.TunnelHopLimit))
+			g.Expect(n.Drops).NotTo(HaveKey(result.TunnelHopLimit))
 		})
 	}
 }
 
 // Guards against a redirect from an earlier time as home that makes the home refuse the registration of a live owner.
 func TestHomeReturnsWithOldRedirect(t *testing.T) {
-	n := newNetwork(t, 1, hosts...)
-	first := n.assigned()
-	n.moveHome(first)
-	n.run(time.Second)
-	n.close(first)
-	n.setLocal(first.owner.Host, flow.Local{AcceptNew: false})
-	n.run(time.Second)
-	second := n.reconnect(first)
-	n.inForce("h1", model.UpstreamActive)
+	n := flownet.New(t, 1, hosts...)
+	first := n.Assigned()
+	n.MoveHome(first)
+	n.Run(time.Second)
+	n.Close(first)
+	n.SetLocal(first.Owner.Host, flow.Local{AcceptNew: false})
+	n.Run(time.Second)
+	second := n.Reconnect(first)
+	n.InForce("h1", model.UpstreamActive)
 	// Every other member seals first, and the home does not audit.
-	n.runLosing(4, func(p parcel) bool {
-		return is[flow.Query](p) || is[flow.Register](p) && p.from == second.owner
+	n.RunLosing(4, func(p flownet.Parcel) bool {
+		return flownet.Holds[flow.Query](p) || flownet.Holds[flow.Register](p) && p.From == second.Owner
 	})
-	n.run(500 * time.Millisecond)
-	n.mustReach(second, 0)
+	n.Run(500 * time.Millisecond)
+	n.MustReach(second, 0)
 }
 
 // Guards against redirects that an earlier home keeps for ever.
 func TestEarlierHomeForgetsRedirects(t *testing.T) {
 	g := NewWithT(t)
-	n := newNetwork(t, 1, hosts...)
-	n.moveHome(n.assigned())
-	n.run(time.Second)
-	g.Expect(n.agents["h1"].Stats().Redirects).To(Equal(1))
-	n.run(30 * time.Second)
-	g.Expect(n.agents["h1"].Stats().Redirects).To(BeZero())
+	n := flownet.New(t, 1, hosts...)
+	n.MoveHome(n.Assigned())
+	n.Run(time.Second)
+	g.Expect(n.Agents["h1"].Stats().Redirects).To(Equal(1))
+	n.Run(30 * time.Second)
+	g.Expect(n.Agents["h1"].Stats().Redirects).To(BeZero())
 }
 
 // Guards against held SYNs that leave no room for packets of established flows.
 func TestHeldSYNsLeaveRoom(t *testing.T) {
 	g := NewWithT(t)
-	n := newNetwork(t, 1, hosts...)
-	c := n.assigned()
-	n.state("h1", model.UpstreamDraining)
-	for _, h := range n.order[1:] {
-		if h != c.owner.Host && h != n.home(c, n.newest()) {
-			n.crash(h) // silent and not yet declared lost: it does not seal
+	n := flownet.New(t, 1, hosts...)
+	c := n.Assigned()
+	n.State("h1", model.UpstreamDraining)
+	for _, h := range n.Order[1:] {
+		if h != c.Owner.Host && h != n.Home(c, n.Newest()) {
+			n.Crash(h) // silent and not yet declared lost: it does not seal
 			break
 		}
 	}
-	n.applyAll()
+	n.ApplyAll()
 	for i := range 16 * flow.DefaultMaxHeld {
-		n.send(&caller{key: benchKey(i)}, 0, flow.FlagSYN)
-		n.flush()
+		n.Send(&flownet.Caller{Key: benchKey(i)}, 0, flow.FlagSYN)
+		n.Flush()
 	}
-	home := n.agents[n.home(c, n.newest())]
+	home := n.Agents[n.Home(c, n.Newest())]
 	held := home.Stats().Held
 	g.Expect(held).To(Equal(flow.DefaultMaxHeld / 2))
-	n.act(home, home.Packet(n.now, flow.Packet{Key: c.key, Generation: model.Revision(n.newest())}, nil))
+	n.Act(home, home.Packet(n.Now, flow.Packet{Key: c.Key, Generation: model.Revision(n.Newest())}, nil))
 	g.Expect(home.Stats().Held).To(Equal(held + 1))
 }
 
-// is reports whether a parcel holds a message of type M.
-func is[M flow.Message](p parcel) bool {
-	m, _ := wire.Decode(p.data)
-	_, ok := m.(M)
-	return p.packet == nil && ok
-}
-
 // Guards against a registration that was sent before its flow ended and arrives after the home has assigned a new flow of
 // the same caller port. Found by TestRandomSchedules (20,000 schedules, seed 2): the home replaced the live owner.
 func TestLateRegister(t *testing.T) {
-	n := newNetwork(t, 2, hosts...)
-	i := n.homedAt("h1")
-	n.inForce("h1", model.UpstreamDraining)
-	n.run(time.Second)
-	first := n.connect(i, 0)
-	n.state("h1", model.UpstreamActive)
-	n.entries[0], n.entries[1] = n.newest(), n.newest()
-	n.queue = nil
-	n.apply(first.owner.Host, n.newest())
-	n.tick()
-	late := n.queue
-	n.queue = nil
-	n.close(first)
-	n.apply("h1", n.newest())
-	n.setLocal("h1", flow.Local{AcceptNew: false})
-	n.applyAll()
-	n.runLosing(6, is[flow.Register]) // the other members have not sealed yet
-	second := n.reconnect(first)
-	n.queue = append(n.queue, late...)
-	n.flush()
-	n.mustReach(second, 1)
+	n := flownet.New(t, 2, hosts...)
+	i := n.HomedAt("h1")
+	n.InForce("h1", model.UpstreamDraining)
+	n.Run(time.Second)
+	first := n.Connect(i, 0)
+	n.State("h1", model.UpstreamActive)
+	n.Entries[0], n.Entries[1] = n.Newest(), n.Newest()
+	n.Queue = nil
+	n.Apply(first.Owner.Host, n.Newest())
+	n.Tick()
+	late := n.Queue
+	n.Queue = nil
+	n.Close(first)
+	n.Apply("h1", n.Newest())
+	n.SetLocal("h1", flow.Local{AcceptNew: false})
+	n.ApplyAll()
+	n.RunLosing(6, flownet.Holds[flow.Register]) // the other members have not sealed yet
+	second := n.Reconnect(first)
+	n.Queue = append(n.Queue, late...)
+	n.Flush()
+	n.MustReach(second, 1)
 }
 
 // Guards against a home that skips the generation of another home and then acts on an assignment of its own from before.
@@ -512,38 +466,38 @@
 func TestHomeThatSkippedAGeneration(t *testing.T) {
 	for name, held := range map[string]bool{"SYN held": true, "owner registers": false} {
 		t.Run(name, func(t *testing.T) {
-			n := newNetwork(t, 2, hosts...)
-			c := &caller{key: callerKey(n.homedAt("h1"))}
-			n.setLocal("h1", flow.Local{AcceptNew: false})
-			n.send(c, 0, flow.FlagSYN)
-			n.deliver(0, false)
-			first := n.queue[0].to
-			n.queue = nil // the assignment is lost
-			n.state("h1", model.UpstreamDraining)
-			n.entries[1] = n.newest()
-			for _, h := range n.order[1:] {
-				n.apply(h, n.newest())
-				n.setLocal(h, flow.Local{AcceptNew: h != first})
+			n := flownet.New(t, 2, hosts...)
+			c := &flownet.Caller{Key: flownet.CallerKey(n.HomedAt("h1"))}
+			n.SetLocal("h1", flow.Local{AcceptNew: false})
+			n.Send(c, 0, flow.FlagSYN)
+			n.Deliver(0, false)
+			first := n.Queue[0].To
+			n.Queue = nil // the assignment is lost
+			n.State("h1", model.UpstreamDraining)
+			n.Entries[1] = n.Newest()
+			for _, h := range n.Order[1:] {
+				n.Apply(h, n.Newest())
+				n.SetLocal(h, flow.Local{AcceptNew: h != first})
 			}
-			n.run(500 * time.Millisecond)
-			n.send(c, 1, flow.FlagSYN)
-			n.run(500 * time.Millisecond)
-			if n.update(c); !c.established {
-				t.Fatalf("the second home does not accept the flow: %v", n.drops)
+			n.Run(500 * time.Millisecond)
+			n.Send(c, 1, flow.FlagSYN)
+			n.Run(500 * time.Millisecond)
+			if n.Update(c); !c.Established {
+				t.Fatalf("the second home does not accept the flow: %v", n.Drops)
 			}
-			n.setLocal(first, flow.Local{AcceptNew: true})
-			n.state("h1", model.UpstreamActive)
-			n.entries[1] = n.newest()
-			for _, h := range n.order[1:] {
-				n.apply(h, n.newest())
+			n.SetLocal(first, flow.Local{AcceptNew: true})
+			n.State("h1", model.UpstreamActive)
+			n.Entries[1] = n.Newest()
+			for _, h := range n.Order[1:] {
+				n.Apply(h, n.Newest())
 			}
 			if held {
-				n.send(c, 1, flow.FlagSYN)
-				n.flush()
+				n.Send(c, 1, flow.FlagSYN)
+				n.Flush()
 			}
-			n.applyAll()
-			n.run(time.Second)
-			n.mustReach(c, 1)
+			n.ApplyAll()
+			n.Run(time.Second)
+			n.MustReach(c, 1)
 		})
 	}
 }
