Move the gates under schedules to standin/gatenet

Cause: the gates, upstreams and binding table behind the fault table and the property test of the request machine stood in a test file. Change: model_test.go becomes standin/gatenet with exported names. Scripts, schedules and all assertions are unchanged. Conclusion: the same schedules run on a reusable stand-in.

--- a/internal/request/admission_test.go
+++ b/internal/request/admission_test.go
@@ -12,6 +12,7 @@
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/request"
 	"github.com/plantainseam/plantainseam/internal/result"
+	"github.com/plantainseam/plantainseam/standin/gatenet"
 )
 
 // bench drives one machine by hand.
@@ -91,7 +92,7 @@
 }
 
 func (b *bench) peers(list ...request.Peer) {
-	b.handle(request.Peers{Service: service, Peers: list})
+	b.handle(request.Peers{Service: gatenet.Service, Peers: list})
 }
 
 // Guards against a service with many or long requests that starves another one on the same host.
@@ -121,22 +122,22 @@
 func TestEarlyRefusal(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(nil)
-	b.warm(service, 100*time.Millisecond)
-	g.Expect(b.codes[b.send(service, 50*time.Millisecond)]).To(Equal(result.RequestDeadlineTooShort))
+	b.warm(gatenet.Service, 100*time.Millisecond)
+	g.Expect(b.codes[b.send(gatenet.Service, 50*time.Millisecond)]).To(Equal(result.RequestDeadlineTooShort))
 	for range 3 {
-		b.send(service, time.Second)
+		b.send(gatenet.Service, time.Second)
 	}
 	for range 15 {
-		b.send(service, time.Minute)
+		b.send(gatenet.Service, time.Minute)
 	}
-	g.Expect(b.codes[b.send(service, 400*time.Millisecond)]).To(Equal(result.RequestDeadlineTooShort))
-	g.Expect(b.codes).NotTo(HaveKey(b.send(service, 3*time.Second)))
+	g.Expect(b.codes[b.send(gatenet.Service, 400*time.Millisecond)]).To(Equal(result.RequestDeadlineTooShort))
+	g.Expect(b.codes).NotTo(HaveKey(b.send(gatenet.Service, 3*time.Second)))
 	b.end(0, request.RunAnswered)
 	b = newBench(nil)
-	b.warm(service, 10*time.Millisecond)
-	b.send(service, 0)
+	b.warm(gatenet.Service, 10*time.Millisecond)
+	b.send(gatenet.Service, 0)
 	b.end(5*time.Second, request.RunAnswered)
-	g.Expect(b.codes).NotTo(HaveKey(b.send(service, 100*time.Millisecond)))
+	g.Expect(b.codes).NotTo(HaveKey(b.send(gatenet.Service, 100*time.Millisecond)))
 }
 
 // Guards against a cold host that takes full load at once, and against cold hosts that take none.
@@ -145,23 +146,23 @@
 	b := newBench(nil)
 	b.handle(request.Local{Cold: true})
 	for range 5 {
-		b.send(service, 0)
+		b.send(gatenet.Service, 0)
 	}
 	g.Expect(b.running).To(HaveLen(1))
 	b.handle(request.Local{})
 	g.Expect(b.running).To(HaveLen(1))
 	for range 10 {
 		b.end(time.Millisecond, request.RunAnswered)
-		b.send(service, 0)
+		b.send(gatenet.Service, 0)
 	}
-	b.send(service, 0)
+	b.send(gatenet.Service, 0)
 	g.Expect(b.running).To(HaveLen(3))
 }
 
 // eject fails runs until the upstream is ejected.
 func (b *bench) eject() {
 	for range 5 {
-		b.sendEvent(request.Received{Service: service, Key: fmt.Sprint("e", b.last)})
+		b.sendEvent(request.Received{Service: gatenet.Service, Key: fmt.Sprint("e", b.last)})
 		b.end(time.Millisecond, request.RunBroken)
 	}
 }
@@ -173,19 +174,19 @@
 	b := newBench(nil)
 	b.peers(healthy, request.Peer{Host: "h2", TakesWork: true, Queued: 9})
 	b.eject()
-	_, ejected := b.m.Ejected(service)
+	_, ejected := b.m.Ejected(gatenet.Service)
 	g.Expect(ejected).To(BeTrue())
-	g.Expect(b.handed).To(HaveKeyWithValue(b.send(service, 0), model.HostID("h1")))
+	g.Expect(b.handed).To(HaveKeyWithValue(b.send(gatenet.Service, 0), model.HostID("h1")))
 	b.now = b.now.Add(3 * time.Second)
-	b.send(service, 0)
+	b.send(gatenet.Service, 0)
 	g.Expect(b.running).To(HaveLen(1), "probe")
-	g.Expect(b.handed).To(HaveKey(b.send(service, 0)), "one probe at a time")
+	g.Expect(b.handed).To(HaveKey(b.send(gatenet.Service, 0)), "one probe at a time")
 	b.end(0, request.RunBroken)
-	g.Expect(b.handed).To(HaveKey(b.send(service, 0)), "failed probe")
+	g.Expect(b.handed).To(HaveKey(b.send(gatenet.Service, 0)), "failed probe")
 	b.now = b.now.Add(5 * time.Second)
-	b.send(service, 0)
+	b.send(gatenet.Service, 0)
 	b.end(0, request.RunAnswered)
-	_, ejected = b.m.Ejected(service)
+	_, ejected = b.m.Ejected(gatenet.Service)
 	g.Expect(ejected).To(BeFalse())
 }
 
@@ -197,10 +198,10 @@
 		b := newBench(nil)
 		b.peers(request.Peer{Host: "h1", TakesWork: true, Mean: mean})
 		for range 5 {
-			b.send(service, 0)
+			b.send(gatenet.Service, 0)
 			b.end(400*time.Millisecond, request.RunAnswered)
 		}
-		_, ejected := b.m.Ejected(service)
+		_, ejected := b.m.Ejected(gatenet.Service)
 		g.Expect(ejected).To(Equal(want), mean.String())
 	}
 }
@@ -217,15 +218,15 @@
 		request.Peer{Host: "h3", TakesWork: true},
 	)
 	b.eject()
-	_, ejected := b.m.Ejected(service)
+	_, ejected := b.m.Ejected(gatenet.Service)
 	g.Expect(ejected).To(BeFalse(), "two of four hosts are ejected already")
-	id := b.send(service, 0)
+	id := b.send(gatenet.Service, 0)
 	g.Expect(b.handed).NotTo(HaveKey(id))
 	g.Expect(b.running).To(ConsistOf(id))
 	b = newBench(nil)
 	b.peers(request.Peer{Host: "h1"})
 	b.eject()
-	id = b.send(service, 0)
+	id = b.send(gatenet.Service, 0)
 	g.Expect(b.running).To(ConsistOf(id), "no other host takes work")
 }
 
@@ -236,7 +237,7 @@
 		b := newBench(func(c *request.Config) { c.RetryBurst, c.RetryRatio, c.QueueLimit = 2, 0, 5 })
 		b.peers(request.Peer{Host: "h1", TakesWork: true, Queued: queued})
 		for range 6 + 4 {
-			b.send(service, 0)
+			b.send(gatenet.Service, 0)
 		}
 		g.Expect(b.handed).To(HaveLen(want))
 		g.Expect(b.codes).To(HaveLen(4 - want))
@@ -249,7 +250,7 @@
 	b := newBench(func(c *request.Config) { c.RetryBurst, c.RetryRatio, c.EjectAfter = 2, 0, 1000 })
 	b.peers(request.Peer{Host: "h1", TakesWork: true})
 	for range 4 {
-		b.send(service, 0)
+		b.send(gatenet.Service, 0)
 		b.end(time.Millisecond, request.RunShed)
 	}
 	g.Expect(b.handed).To(HaveLen(2))
@@ -261,7 +262,7 @@
 	g := NewWithT(t)
 	b := newBench(nil)
 	for range 3 {
-		b.send(service, 0)
+		b.send(gatenet.Service, 0)
 	}
 	b.peers(request.Peer{Host: "h1", TakesWork: true})
 	b.handle(request.Local{Draining: true, DrainDeadline: b.now.Add(time.Minute)})
@@ -292,11 +293,11 @@
 			b := newBench(func(cfg *request.Config) { cfg.RetainCount, cfg.RetainBytes = c.count, c.bytes })
 			held, answers := 0, 0
 			for i := range 12 {
-				b.sendEvent(request.Received{Service: service, Key: fmt.Sprint("k", i)})
+				b.sendEvent(request.Received{Service: gatenet.Service, Key: fmt.Sprint("k", i)})
 				b.end(time.Millisecond, request.RunAnswered)
 			}
 			for i := range 12 {
-				asked := request.JoinAsked{ID: request.ID(100 + i), Service: service, Key: fmt.Sprint("k", i)}
+				asked := request.JoinAsked{ID: request.ID(100 + i), Service: gatenet.Service, Key: fmt.Sprint("k", i)}
 				a := b.m.Handle(b.now, asked, nil)[0]
 				switch {
 				case a.Held && a.Answer != nil:
--- a/internal/request/faults_test.go
+++ b/internal/request/faults_test.go
@@ -11,9 +11,10 @@
 
 	"github.com/plantainseam/plantainseam/internal/binding"
 	"github.com/plantainseam/plantainseam/internal/request"
+	"github.com/plantainseam/plantainseam/standin/gatenet"
 )
 
-// Outcomes of a dispatch in scripts; see world.dispatch. A run that is not listed is answered.
+// Outcomes of a dispatch in scripts; see gatenet.New. A run that is not listed is answered.
 const (
 	shed     = "0"
 	notSent  = "1"
@@ -28,18 +29,18 @@
 //	deliver:bind:0           the oldest message of that kind from agent 0 arrives; newest: the latest one; again: a copy
 //	lose:bind:0              its sender gives up; the message may still arrive
 //	crash:0  lost:0  drain:0  nopeers:0  cancel:n  wait:1s  restore
-func script(w *world, steps string) []string {
+func script(w *gatenet.World, steps string) []string {
 	var codes []string
 	var callers []waiting
-	find := func(what, agent string, newest bool) *message {
-		var found *message
-		for _, m := range w.bag {
-			if m.what == what && string(m.from.ref.Host) == "h"+agent && (found == nil || newest) {
+	find := func(what, agent string, newest bool) *gatenet.Message {
+		var found *gatenet.Message
+		for _, m := range w.Bag {
+			if m.What == what && string(m.From.Ref.Host) == "h"+agent && (found == nil || newest) {
 				found = m
 			}
 		}
 		if found == nil {
-			w.fail("no %s of h%s is under way; steps: %s", what, agent, steps)
+			w.T.Fatalf("no %s of h%s is under way; steps: %s", what, agent, steps)
 		}
 		return found
 	}
@@ -48,48 +49,48 @@
 		number := func() int { n, _ := strconv.Atoi(f[1]); return n }
 		switch f[0] {
 		case "send":
-			s := &send{key: f[2], body: f[3], tag: f[2] + f[3], idempotent: f[2] == "put"}
+			s := &gatenet.Send{Key: f[2], Body: f[3], Tag: f[2] + f[3], Idempotent: f[2] == "put"}
 			if f[2] == "get" {
-				s = &send{tag: fmt.Sprint("get-", len(codes)), idempotent: true}
+				s = &gatenet.Send{Tag: fmt.Sprint("get-", len(codes)), Idempotent: true}
 			}
 			if len(f) > 4 {
 				seconds, _ := strconv.Atoi(f[4])
-				s.deadline = time.Unix(1_800_000_000, 0).Add(time.Duration(seconds) * time.Second)
+				s.Deadline = time.Unix(1_800_000_000, 0).Add(time.Duration(seconds) * time.Second)
 			}
 			n := len(codes)
 			codes = append(codes, "-")
-			a, id := w.callerThen(number(), s, func(act request.Action) { codes[n] = strconv.Itoa(int(act.Code)) })
+			a, id := w.CallerThen(number(), s, func(act request.Action) { codes[n] = strconv.Itoa(int(act.Code)) })
 			callers = append(callers, waiting{a, id, s})
 		case "deliver", "newest":
 			m := find(f[1], f[2], f[0] == "newest")
-			w.remove(m)
-			m.deliver()
+			w.Remove(m)
+			m.Deliver()
 		case "again":
-			find(f[1], f[2], false).deliver()
+			find(f[1], f[2], false).Deliver()
 		case "lose":
-			find(f[1], f[2], false).lose()
+			find(f[1], f[2], false).Lose()
 		case "crash":
-			w.crash(number())
+			w.Crash(number())
 		case "lost":
-			a := w.agents[number()]
-			w.table.Apply(0, w.now, binding.LostCommand(a.ref.Host, a.ref.Incarnation))
+			a := w.Agents[number()]
+			w.Table.Apply(0, w.Now, binding.LostCommand(a.Ref.Host, a.Ref.Incarnation))
 		case "drain":
-			w.handle(w.agents[number()], request.Local{Draining: true})
+			w.Handle(w.Agents[number()], request.Local{Draining: true})
 		case "nopeers":
-			w.peers(number(), false)
+			w.Peers(number(), false)
 		case "cancel":
 			c := callers[number()]
-			c.send.left = true
-			w.handle(c.agent, request.Cancelled{ID: c.id})
+			c.send.Left = true
+			w.Handle(c.agent, request.Cancelled{ID: c.id})
 		case "wait":
 			d, _ := time.ParseDuration(f[1])
-			(&schedule{world: w, log: func(string, ...any) {}}).advance(d)
+			(&schedule{World: w, log: func(string, ...any) {}}).advance(d)
 		case "restore":
-			snapshot, _ := w.table.Snapshot()
-			w.table = binding.NewTable(0)
-			_ = w.table.Restore(snapshot)
+			snapshot, _ := w.Table.Snapshot()
+			w.Table = binding.NewTable(0)
+			_ = w.Table.Restore(snapshot)
 		default:
-			w.fail("unknown step %s", step)
+			w.T.Fatalf("unknown step %s", step)
 		}
 	}
 	return codes
@@ -171,11 +172,11 @@
 				outcomes = outcomes[1:]
 				return o
 			}
-			w := newWorld(3, next, t.Fatalf)
+			w := gatenet.New(3, next, t)
 			codes := script(w, c.steps)
 			g.Expect(strings.Join(codes, " ")).To(Equal(c.codes))
 			runs := 0
-			for _, n := range w.runs {
+			for _, n := range w.Runs {
 				runs += n
 			}
 			g.Expect(runs).To(Equal(c.runs))
