--- a/internal/control/capacity_bench_test.go
+++ b/internal/control/capacity_bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/ed25519"
 	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -17,16 +16,10 @@
 	"github.com/plantainseam/plantainseam/rpc/catalogpb"
 	"github.com/plantainseam/plantainseam/rpc/configpb"
 	"github.com/plantainseam/plantainseam/rpc/memberpb"
+	"github.com/plantainseam/plantainseam/standin/rpcload"
 )
 
-// Sizes of the target in two years.
-const (
-	targetServices = 1100
-	targetUps      = 5900
-	targetNodes    = 6670 // upstream and entry VMs
-	targetDomains  = 7
-	membersPerSvc  = 7
-)
+const targetDomains = 7 // failure domains of the target
 
 const benchLoad = time.Second // of calls in a closed loop
 
@@ -56,10 +49,7 @@
 		configpb.ConfigurationPathPrefix: {peer.RoleEntry, peer.RoleUpstream},
 	}
 	web := peer.NewServer(peer.ServerOptions{Credentials: credentials, Rules: rules}, mux)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
+	listener := rpcload.Listen(b)
 	vm.address = listener.Addr().String()
 	go func() { _ = peer.Serve(web, listener) }()
 	b.Cleanup(func() {
@@ -74,14 +64,14 @@
 // restoreServices gives the catalog the services of the target size, without hosts.
 func restoreServices(b *testing.B, s *control.State) {
 	b.Helper()
-	state := &catalogpb.State{Revision: 1, LastService: targetServices}
-	for id := 1; id <= targetServices; id++ {
+	state := &catalogpb.State{Revision: 1, LastService: rpcload.TargetServices}
+	for id := 1; id <= rpcload.TargetServices; id++ {
 		svc := &catalogpb.Service{
 			Id: uint32(id), Name: fmt.Sprintf("service-%04d", id), Kind: 1, Generation: 1, QueueLimit: 64,
 			Frontend: fmt.Sprintf("10.200.%d.%d:80", id/250, id%250+1),
 		}
-		for j := range membersPerSvc {
-			svc.Rights = append(svc.Rights, upstreamName((id*membersPerSvc+j)%targetUps))
+		for j := range rpcload.MembersPerService {
+			svc.Rights = append(svc.Rights, upstreamName((id*rpcload.MembersPerService+j)%rpcload.TargetUpstreams))
 		}
 		state.Services = append(state.Services, svc)
 	}
@@ -97,9 +87,9 @@
 // carried returns the services of each upstream.
 func carried() map[int][]uint32 {
 	out := map[int][]uint32{}
-	for id := 1; id <= targetServices; id++ {
-		for j := range membersPerSvc {
-			host := (id*membersPerSvc + j) % targetUps
+	for id := 1; id <= rpcload.TargetServices; id++ {
+		for j := range rpcload.MembersPerService {
+			host := (id*rpcload.MembersPerService + j) % rpcload.TargetUpstreams
 			out[host] = append(out[host], uint32(id))
 		}
 	}
@@ -114,7 +104,7 @@
 		Tunnel: fmt.Sprintf("10.%d.%d.%d:6081", i>>16, i>>8&255, i&255),
 		Rpc:    fmt.Sprintf("10.%d.%d.%d:7000", i>>16, i>>8&255, i&255),
 	}
-	if i%targetNodes >= targetUps {
+	if i%rpcload.TargetNodes >= rpcload.TargetUpstreams {
 		req.Host, req.Entry = fmt.Sprintf("entry-%05d", i), true
 		return req, peer.RoleEntry
 	}
@@ -125,8 +115,8 @@
 		for _, code := range []uint32{0, 1, 2103} {
 			req.Totals = append(req.Totals, &memberpb.AccountTotal{Service: id, Unit: "flow", Code: code, Count: 123456})
 		}
-		for j := range membersPerSvc - 1 {
-			req.Reachable = append(req.Reachable, upstreamName((i+j+1)%targetUps))
+		for j := range rpcload.MembersPerService - 1 {
+			req.Reachable = append(req.Reachable, upstreamName((i+j+1)%rpcload.TargetUpstreams))
 		}
 	}
 	return req, peer.RoleUpstream
@@ -135,19 +125,19 @@
 // benchFleet is a set of announcing hosts.
 type benchFleet struct {
 	vm       *benchVM
-	hosts    []*rawHost
+	hosts    []*rpcload.Host
 	requests [][]byte
 	messages []*memberpb.AnnounceRequest
 }
 
-func newBenchFleet(b *testing.B, vm *benchVM, a *authority, n int) *benchFleet {
+func newBenchFleet(b *testing.B, vm *benchVM, a *rpcload.Authority, n int) *benchFleet {
 	b.Helper()
 	f := &benchFleet{vm: vm}
 	services := carried()
 	for k := range n {
-		i := k * targetNodes / n // the share of entries is that of the target
+		i := k * rpcload.TargetNodes / n // the share of entries is that of the target
 		req, role := benchAnnouncement(i, services[i])
-		h := newRawHost(b, a, req.Host, role)
+		h := rpcload.NewHost(b, a, req.Host, role)
 		f.hosts, f.messages = append(f.hosts, h), append(f.messages, req)
 	}
 	f.encode(b)
@@ -160,19 +150,19 @@
 	b.Helper()
 	f.requests = nil
 	for i, h := range f.hosts {
-		f.requests = append(f.requests, h.request(b, f.vm.address, announcePath, f.messages[i]))
+		f.requests = append(f.requests, h.Request(b, f.vm.address, announcePath, f.messages[i]))
 	}
 }
 
 // lease announces a host until it has a lease.
-func (f *benchFleet) lease(i int, h *rawHost) error {
+func (f *benchFleet) lease(i int, h *rpcload.Host) error {
 	for {
-		if h.conn == nil {
-			if err := h.dial(f.vm.address); err != nil {
+		if h.Conn == nil {
+			if err := h.Dial(f.vm.address); err != nil {
 				return err
 			}
 		}
-		body, _, err := h.call(f.requests[i])
+		body, _, err := h.Call(f.requests[i])
 		if err != nil {
 			return err
 		}
@@ -191,11 +181,11 @@
 func (f *benchFleet) load(b *testing.B) (perSecond, bytes, cpuMicros float64) {
 	b.Helper()
 	calls, wire := 0, 0
-	start, cpu := time.Now(), cpuTime()
+	start, cpu := time.Now(), rpcload.CPUTime()
 	for time.Since(start) < benchLoad {
 		sizes := make([]int, len(f.hosts))
-		err := eachHost(f.hosts, benchWorkers, func(i int, h *rawHost) (err error) {
-			_, sizes[i], err = h.call(f.requests[i])
+		err := rpcload.Each(f.hosts, rpcload.Workers, func(i int, h *rpcload.Host) (err error) {
+			_, sizes[i], err = h.Call(f.requests[i])
 			return err
 		})
 		if err != nil {
@@ -206,13 +196,13 @@
 			wire += n
 		}
 	}
-	used, took := cpuTime()-cpu, time.Since(start)
+	used, took := rpcload.CPUTime()-cpu, time.Since(start)
 	return float64(calls) / took.Seconds(), float64(wire) / float64(calls), float64(used.Microseconds()) / float64(calls)
 }
 
 func (f *benchFleet) close() {
 	for _, h := range f.hosts {
-		h.close()
+		h.Close()
 	}
 }
 
@@ -221,7 +211,7 @@
 // stand-in with a fixed answer.
 func BenchmarkAnnounce(b *testing.B) {
 	for _, secure := range []bool{false, true} {
-		for _, n := range []int{100, 1000, targetNodes} {
+		for _, n := range []int{100, 1000, rpcload.TargetNodes} {
 			b.Run(fmt.Sprintf("tls=%t/hosts=%d", secure, n), func(b *testing.B) {
 				for range b.N {
 					benchAnnounce(b, secure, n)
@@ -232,37 +222,37 @@
 }
 
 func benchAnnounce(b *testing.B, secure bool, n int) {
-	var a *authority
+	var a *rpcload.Authority
 	if secure {
-		a = newAuthority(b)
+		a = rpcload.NewAuthority(b)
 	}
-	credentials := a.credentials(b)
+	credentials := a.Credentials(b)
 	vm := newBenchVM(b, credentials)
 	f := newBenchFleet(b, vm, a, n)
 	defer f.close()
-	empty := memory()
-	start, cpu := time.Now(), cpuTime()
-	if err := eachHost(f.hosts, benchWorkers, f.lease); err != nil {
+	empty := rpcload.Memory()
+	start, cpu := time.Now(), rpcload.CPUTime()
+	if err := rpcload.Each(f.hosts, rpcload.Workers, f.lease); err != nil {
 		b.Fatal(err)
 	}
 	b.ReportMetric(time.Since(start).Seconds(), "s-to-all-leased")
-	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(n), "cpu-us/first")
+	b.ReportMetric(float64((rpcload.CPUTime()-cpu).Microseconds())/float64(n), "cpu-us/first")
 	perSecond, bytes, micros := f.load(b)
 	b.ReportMetric(perSecond, "announces/s")
 	b.ReportMetric(bytes, "B/announce")
 	b.ReportMetric(micros, "cpu-us/announce")
-	b.ReportMetric((memory()-empty)/float64(n), "B/host")
+	b.ReportMetric((rpcload.Memory()-empty)/float64(n), "B/host")
 	f.close()
 	time.Sleep(time.Second) // for the server to notice
-	b.ReportMetric((memory()-empty)/float64(n), "B/host-state")
+	b.ReportMetric((rpcload.Memory()-empty)/float64(n), "B/host-state")
 	if n != 100 {
 		return
 	}
 	request := len(f.requests[0])
-	address := answering(b, credentials, request, []byte("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n123456"))
+	address := rpcload.ServeFixed(b, credentials, request, []byte("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n123456"))
 	for i, h := range f.hosts {
 		f.requests[i] = f.requests[0]
-		if err := h.dial(address); err != nil {
+		if err := h.Dial(address); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/control/storm_bench_test.go
+++ b/internal/control/storm_bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/plantainseam/plantainseam/internal/peer"
 	"github.com/plantainseam/plantainseam/rpc/catalogpb"
 	"github.com/plantainseam/plantainseam/rpc/configpb"
+	"github.com/plantainseam/plantainseam/standin/rpcload"
 )
 
 const (
@@ -28,7 +29,7 @@
 	b.Helper()
 	services := carried()
 	var hosts []*catalogpb.Host
-	for i := range targetNodes {
+	for i := range rpcload.TargetNodes {
 		req, _ := benchAnnouncement(i, services[i])
 		hosts = append(hosts, &catalogpb.Host{
 			Host: req.Host, Incarnation: req.Incarnation, FailureDomain: req.FailureDomain, Tunnel: req.Tunnel, Rpc: req.Rpc,
@@ -54,7 +55,7 @@
 
 // pollers are hosts that wait for the next revision.
 type pollers struct {
-	hosts   []*rawHost
+	hosts   []*rpcload.Host
 	request []byte // of plain-text hosts the identity differs, which the server does not look at for a fetch
 	group   sync.WaitGroup
 	mu      sync.Mutex
@@ -70,7 +71,7 @@
 		p.group.Add(1)
 		go func() {
 			defer p.group.Done()
-			body, wire, err := h.call(p.request)
+			body, wire, err := h.Call(p.request)
 			res := &configpb.FetchResponse{}
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -91,7 +92,7 @@
 // ends, without decoding at the clients.
 func BenchmarkChange(b *testing.B) {
 	for _, secure := range []bool{false, true} {
-		for _, n := range []int{100, 1000, targetNodes} {
+		for _, n := range []int{100, 1000, rpcload.TargetNodes} {
 			b.Run(fmt.Sprintf("tls=%t/clients=%d", secure, n), func(b *testing.B) {
 				for range b.N {
 					benchChange(b, secure, n)
@@ -102,48 +103,48 @@
 }
 
 func benchChange(b *testing.B, secure bool, n int) {
-	var a *authority
+	var a *rpcload.Authority
 	if secure {
-		a = newAuthority(b)
+		a = rpcload.NewAuthority(b)
 	}
-	vm := newBenchVM(b, a.credentials(b))
+	vm := newBenchVM(b, a.Credentials(b))
 	vm.register(b)
 	p := &pollers{}
 	for i := range n {
-		p.hosts = append(p.hosts, newRawHost(b, a, fmt.Sprintf("h%d", i), peer.RoleEntry))
+		p.hosts = append(p.hosts, rpcload.NewHost(b, a, fmt.Sprintf("h%d", i), peer.RoleEntry))
 	}
-	err := eachHost(p.hosts, benchWorkers, func(_ int, h *rawHost) error { return h.dial(vm.address) })
+	err := rpcload.Each(p.hosts, rpcload.Workers, func(_ int, h *rpcload.Host) error { return h.Dial(vm.address) })
 	if err != nil {
 		b.Fatal(err)
 	}
 	defer func() {
 		for _, h := range p.hosts {
-			h.close()
+			h.Close()
 		}
 	}()
 	res, err := vm.server.Fetch(b.Context(), &configpb.FetchRequest{})
 	if err != nil {
 		b.Fatal(err)
 	}
-	before := memory()
+	before := rpcload.Memory()
 	var took, used, parked time.Duration
 	bytes := 0
 	for i := range benchChanges {
 		since := &configpb.FetchRequest{Since: res.Revision, Digest: res.Digest, Host: "host-00000", WaitMs: uint32(benchPollWait.Milliseconds())}
-		p.request, p.latest = p.hosts[0].request(b, vm.address, fetchPath, since), nil
-		cpu := cpuTime()
+		p.request, p.latest = p.hosts[0].Request(b, vm.address, fetchPath, since), nil
+		cpu := rpcload.CPUTime()
 		p.park()
 		time.Sleep(benchParkTime)
-		parked += cpuTime() - cpu
+		parked += rpcload.CPUTime() - cpu
 		if i == 0 {
-			b.ReportMetric((memory()-before)/float64(n), "B/client")
+			b.ReportMetric((rpcload.Memory()-before)/float64(n), "B/client")
 		}
 		start := time.Now()
-		cpu = cpuTime()
-		vm.apply(b, lose(i*membersPerSvc))
+		cpu = rpcload.CPUTime()
+		vm.apply(b, lose(i*rpcload.MembersPerService))
 		p.group.Wait()
 		took += time.Since(start)
-		used += cpuTime() - cpu
+		used += rpcload.CPUTime() - cpu
 		bytes += p.bytes
 		if p.err != nil || p.latest.Delta == nil {
 			b.Fatal("no delta", p.err)
@@ -166,30 +167,30 @@
 // with TLS and fetch a full snapshot of the target sizes from one control VM.
 func BenchmarkRestarts(b *testing.B) {
 	for range b.N {
-		a := newAuthority(b)
-		vm := newBenchVM(b, a.credentials(b))
+		a := rpcload.NewAuthority(b)
+		vm := newBenchVM(b, a.Credentials(b))
 		vm.register(b)
-		var hosts []*rawHost
+		var hosts []*rpcload.Host
 		for i := range restartsPerDay {
-			hosts = append(hosts, newRawHost(b, a, fmt.Sprintf("h%d", i), peer.RoleEntry))
+			hosts = append(hosts, rpcload.NewHost(b, a, fmt.Sprintf("h%d", i), peer.RoleEntry))
 		}
-		request := hosts[0].request(b, vm.address, fetchPath, &configpb.FetchRequest{Host: "host-00000"})
+		request := hosts[0].Request(b, vm.address, fetchPath, &configpb.FetchRequest{Host: "host-00000"})
 		sizes := make([]int, len(hosts))
-		start, cpu := time.Now(), cpuTime()
-		err := eachHost(hosts, benchWorkers, func(i int, h *rawHost) (err error) {
-			defer h.close()
-			if err := h.dial(vm.address); err != nil {
+		start, cpu := time.Now(), rpcload.CPUTime()
+		err := rpcload.Each(hosts, rpcload.Workers, func(i int, h *rpcload.Host) (err error) {
+			defer h.Close()
+			if err := h.Dial(vm.address); err != nil {
 				return err
 			}
-			_, sizes[i], err = h.call(request)
-			h.buf = nil
+			_, sizes[i], err = h.Call(request)
+			h.Buf = nil
 			return err
 		})
 		if err != nil {
 			b.Fatal(err)
 		}
 		b.ReportMetric(time.Since(start).Seconds(), "s-to-all")
-		b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/1000/restartsPerDay, "cpu-ms/fetch")
+		b.ReportMetric(float64((rpcload.CPUTime()-cpu).Microseconds())/1000/restartsPerDay, "cpu-ms/fetch")
 		b.ReportMetric(float64(sizes[0]), "B/fetch")
 	}
 }
@@ -198,24 +199,24 @@
 // incarnations, and a lease for each, at a leader that knows all hosts of the target.
 func BenchmarkDomainReturns(b *testing.B) {
 	for range b.N {
-		a := newAuthority(b)
-		vm := newBenchVM(b, a.credentials(b))
+		a := rpcload.NewAuthority(b)
+		vm := newBenchVM(b, a.Credentials(b))
 		vm.register(b)
 		f := &benchFleet{vm: vm}
 		services := carried()
 		for i := 0; len(f.hosts) < domainHosts; i += targetDomains {
 			req, role := benchAnnouncement(i, services[i])
 			req.Incarnation++
-			f.hosts, f.messages = append(f.hosts, newRawHost(b, a, req.Host, role)), append(f.messages, req)
+			f.hosts, f.messages = append(f.hosts, rpcload.NewHost(b, a, req.Host, role)), append(f.messages, req)
 		}
 		f.encode(b)
 		before := vm.state.Config().Revision
-		start, cpu := time.Now(), cpuTime()
-		if err := eachHost(f.hosts, len(f.hosts), f.lease); err != nil {
+		start, cpu := time.Now(), rpcload.CPUTime()
+		if err := rpcload.Each(f.hosts, len(f.hosts), f.lease); err != nil {
 			b.Fatal(err)
 		}
 		b.ReportMetric(time.Since(start).Seconds(), "s-to-all-leased")
-		b.ReportMetric((cpuTime() - cpu).Seconds(), "cpu-s")
+		b.ReportMetric((rpcload.CPUTime() - cpu).Seconds(), "cpu-s")
 		b.ReportMetric(float64(vm.state.Config().Revision-before), "revisions")
 		f.close()
 	}
--- a/internal/daemon/idle_bench_test.go
+++ b/internal/daemon/idle_bench_test.go
@@ -6,10 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"path/filepath"
-	"runtime"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -18,19 +15,15 @@
 	"github.com/plantainseam/plantainseam/internal/dissemination"
 	"github.com/plantainseam/plantainseam/internal/model"
 	"github.com/plantainseam/plantainseam/internal/peer"
-	"github.com/plantainseam/plantainseam/internal/pki"
 	"github.com/plantainseam/plantainseam/internal/settings"
 	"github.com/plantainseam/plantainseam/rpc/configpb"
 	"github.com/plantainseam/plantainseam/rpc/memberpb"
+	"github.com/plantainseam/plantainseam/standin/rpcload"
 )
 
-// Sizes of the target in two years, and the duration of a measurement.
 const (
-	benchServices = 1100
-	benchHosts    = 5900
-	benchEntries  = 770
-	benchIdle     = 10 * time.Second // two short fetches and one long poll
-	benchChanges  = 3
+	benchIdle    = 10 * time.Second // two short fetches and one long poll
+	benchChanges = 3
 )
 
 // grantLease accepts every announcement.
@@ -42,54 +35,33 @@
 
 // idleBench is a stand-in for the control VMs, with TLS, and the nodes that it serves.
 type idleBench struct {
-	dir     string
-	server  *dissemination.Server
-	address string
-	nodes   []*process
-	bytes   atomic.Int64 // of the first node, in both directions
-	roles   []*configuration
+	authority *rpcload.Authority
+	server    *dissemination.Server
+	address   string
+	nodes     []*process
+	bytes     atomic.Int64 // of the first node, in both directions
+	roles     []*configuration
 }
 
 func newIdleBench(b *testing.B) *idleBench {
 	b.Helper()
-	s := &idleBench{dir: b.TempDir(), server: dissemination.NewServer()}
-	if err := pki.CreateAuthority(s.dir, time.Now()); err != nil {
-		b.Fatal(err)
-	}
-	files := s.issue(b, "control", peer.RoleControl)
-	credentials, err := peer.LoadCredentials(peer.Files{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority}, time.Now)
-	if err != nil {
-		b.Fatal(err)
-	}
+	s := &idleBench{authority: rpcload.NewAuthority(b), server: dissemination.NewServer()}
+	credentials := s.authority.Credentials(b)
 	mux := http.NewServeMux()
 	mux.Handle(memberpb.MembershipPathPrefix, memberpb.NewMembershipServer(grantLease{s.server}))
 	mux.Handle(configpb.ConfigurationPathPrefix, configpb.NewConfigurationServer(s.server))
 	web := peer.NewServer(peer.ServerOptions{Credentials: credentials, Rules: rules}, mux)
-	l := benchListen(b)
+	l := rpcload.Listen(b)
 	s.address = l.Addr().String()
 	go func() { _ = peer.Serve(web, l) }()
 	b.Cleanup(func() { _ = web.Close() })
 	return s
 }
 
-func benchListen(b *testing.B) net.Listener {
-	b.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { _ = l.Close() })
-	return l
-}
-
 func (s *idleBench) issue(b *testing.B, name string, role peer.Role) settings.TLS {
 	b.Helper()
-	r := pki.Request{Name: name, Roles: []string{string(role)}, Addresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
-	if err := pki.Issue(s.dir, r, time.Now()); err != nil {
-		b.Fatal(err)
-	}
-	base := filepath.Join(s.dir, name)
-	return settings.TLS{Certificate: base + ".pem", Key: base + "-key.pem", Authority: filepath.Join(s.dir, pki.AuthorityFile)}
+	f := s.authority.Issue(b, name, role)
+	return settings.TLS{Certificate: f.Certificate, Key: f.Key, Authority: f.Authority}
 }
 
 // node returns a process; the connections of the first one are counted.
@@ -102,7 +74,7 @@
 	servers := []settings.ControlServer{
 		{Name: "c1", RPC: netip.MustParseAddrPort(address)}, {Name: "c2", RPC: netip.MustParseAddrPort(address)},
 	}
-	backend := benchListen(b)
+	backend := rpcload.Listen(b)
 	go discard(backend)
 	p, err := newProcess(&settings.Settings{
 		Host: model.HostID(name), FailureDomain: "d1", RPC: freeTCP(b), TLS: s.issue(b, name, role),
@@ -134,7 +106,7 @@
 
 func freeTCP(b *testing.B) netip.AddrPort {
 	b.Helper()
-	l := benchListen(b)
+	l := rpcload.Listen(b)
 	defer l.Close()
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
@@ -152,7 +124,7 @@
 // countTCP returns the address of a relay in front of the control VM that counts bytes with TLS framing.
 func (s *idleBench) countTCP(b *testing.B) string {
 	b.Helper()
-	l := benchListen(b)
+	l := rpcload.Listen(b)
 	go func() {
 		for {
 			near, err := l.Accept()
@@ -215,23 +187,23 @@
 	addr := func(i, port int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), uint16(port))
 	}
-	for i := range benchHosts - len(members) {
+	for i := range rpcload.TargetUpstreams - len(members) {
 		host := model.HostID(fmt.Sprintf("host-%05d", i))
 		s.Upstreams[host] = &model.Upstream{
 			Ref: model.HostRef{Host: host, Incarnation: 1}, FailureDomain: "d2", Tunnel: addr(i, 6081), RPC: addr(i, 7000), Slots: 3, MaxConnections: 2000,
 		}
 	}
-	for i := range benchEntries {
+	for i := range rpcload.TargetEntries {
 		host := model.HostID(fmt.Sprintf("entry-%05d", i))
 		s.Entries[host] = &model.Entry{Ref: model.HostRef{Host: host, Incarnation: 1}, FailureDomain: "d2", Tunnel: addr(i, 6081), RPC: addr(i, 7000)}
 	}
-	for id := 1; id <= benchServices; id++ {
+	for id := 1; id <= rpcload.TargetServices; id++ {
 		svc := &model.Service{
 			ID: model.ServiceID(id), Name: fmt.Sprintf("service-%04d", id), Frontend: addr(1<<17+id, 80), Kind: model.KindStream,
 			Seed: uint64(id), Generation: 1, QueueLimit: 64,
 		}
-		for j := range 7 {
-			host := model.HostID(fmt.Sprintf("host-%05d", (id*7+j)%(benchHosts-len(members))))
+		for j := range rpcload.MembersPerService {
+			host := model.HostID(fmt.Sprintf("host-%05d", (id*rpcload.MembersPerService+j)%(rpcload.TargetUpstreams-len(members))))
 			svc.Members = append(svc.Members, model.Member{Host: host, State: model.UpstreamActive})
 		}
 		s.Services[svc.ID] = svc
@@ -258,20 +230,6 @@
 	return next
 }
 
-func usedCPU() time.Duration {
-	var u syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
-func usedMemory() float64 {
-	runtime.GC()
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc + m.StackInuse)
-}
-
 // waitFor waits until every node has the newest revision in force.
 func (s *idleBench) waitFor(b *testing.B) {
 	b.Helper()
@@ -292,13 +250,13 @@
 	n := float64(len(s.nodes))
 	s.waitFor(b)
 	time.Sleep(2 * time.Second) // connections and seals settle
-	b.ReportMetric((usedMemory()-before)/n/1e6, "MB/node")
-	bytes, udp, cpu := s.bytes.Load(), tunnel.Load(), usedCPU()
+	b.ReportMetric((rpcload.Memory()-before)/n/1e6, "MB/node")
+	bytes, udp, cpu := s.bytes.Load(), tunnel.Load(), rpcload.CPUTime()
 	time.Sleep(benchIdle)
 	b.ReportMetric(float64(s.bytes.Load()-bytes)/benchIdle.Seconds(), "B/s")
 	b.ReportMetric(float64(tunnel.Load()-udp)/benchIdle.Seconds(), "B/s-tunnel-in")
-	b.ReportMetric((usedCPU()-cpu).Seconds()/benchIdle.Seconds()/n*100, "cpu-%")
-	cpu = usedCPU()
+	b.ReportMetric((rpcload.CPUTime()-cpu).Seconds()/benchIdle.Seconds()/n*100, "cpu-%")
+	cpu = rpcload.CPUTime()
 	for range benchChanges {
 		snapshot = nextRevision(snapshot)
 		if err := s.server.Publish(snapshot); err != nil {
@@ -306,7 +264,7 @@
 		}
 		s.waitFor(b)
 	}
-	b.ReportMetric(float64((usedCPU()-cpu).Microseconds())/1000/benchChanges/n, "cpu-ms/change")
+	b.ReportMetric(float64((rpcload.CPUTime()-cpu).Microseconds())/1000/benchChanges/n, "cpu-ms/change")
 }
 
 // BenchmarkIdleEntry measures entry processes without traffic at the target sizes: all of their connections to the
@@ -328,7 +286,7 @@
 			roles = append(roles, r)
 			s.roles = append(s.roles, r.config)
 		}
-		before := usedMemory()
+		before := rpcload.Memory()
 		ctx, cancel := context.WithCancel(b.Context())
 		for _, r := range roles {
 			go func() { _ = r.run(ctx) }()
@@ -374,7 +332,7 @@
 	if err := s.server.Publish(snapshot); err != nil {
 		b.Fatal(err)
 	}
-	before := usedMemory()
+	before := rpcload.Memory()
 	ctx, cancel := context.WithCancel(b.Context())
 	for _, r := range roles {
 		go func() { _ = r.run(ctx) }()
--- a/internal/control/load_bench_test.go
+++ b/standin/rpcload/rpcload.go
@@ -1,4 +1,6 @@
-package control_test
+// Package rpcload sends prepared RPCs from many hosts over open connections, with certificates of its own authority, and
+// measures the processor time and memory of benchmarks.
+package rpcload
 
 import (
 	"bytes"
@@ -15,7 +17,6 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -24,18 +25,36 @@
 	"github.com/plantainseam/plantainseam/internal/pki"
 )
 
-// benchWorkers is the number of calls in flight; further calls wait at the client.
-const benchWorkers = 32
+// Sizes of the target in two years.
+const (
+	TargetServices    = 1100
+	TargetUpstreams   = 5900
+	TargetEntries     = 770
+	TargetNodes       = TargetUpstreams + TargetEntries
+	MembersPerService = 7
+)
+
+// Workers is the number of calls in flight; further calls wait at the client.
+const Workers = 32
+
+// TB is the part of *testing.B that the helpers need.
+type TB interface {
+	Helper()
+	Fatal(args ...any)
+	TempDir() string
+	Cleanup(f func())
+}
 
-// authority issues certificates for a benchmark with TLS.
-type authority struct {
+// Authority issues certificates for a benchmark with TLS.
+type Authority struct {
 	dir  string
 	pool *x509.CertPool
 }
 
-func newAuthority(b *testing.B) *authority {
+// NewAuthority creates an authority in a temporary directory.
+func NewAuthority(b TB) *Authority {
 	b.Helper()
-	a := &authority{dir: b.TempDir(), pool: x509.NewCertPool()}
+	a := &Authority{dir: b.TempDir(), pool: x509.NewCertPool()}
 	if err := pki.CreateAuthority(a.dir, time.Now()); err != nil {
 		b.Fatal(err)
 	}
@@ -46,7 +65,8 @@
 	return a
 }
 
-func (a *authority) issue(b *testing.B, name string, role peer.Role) peer.Files {
+// Issue writes a certificate for a host on 127.0.0.1 and returns its files.
+func (a *Authority) Issue(b TB, name string, role peer.Role) peer.Files {
 	b.Helper()
 	r := pki.Request{Name: name, Roles: []string{string(role)}, Addresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
 	if err := pki.Issue(a.dir, r, time.Now()); err != nil {
@@ -56,36 +76,37 @@
 	return peer.Files{Certificate: base + ".pem", Key: base + "-key.pem", Authority: filepath.Join(a.dir, pki.AuthorityFile)}
 }
 
-// credentials returns those of a server, or nil without an authority.
-func (a *authority) credentials(b *testing.B) *peer.Credentials {
+// Credentials returns those of a server, or nil without an authority.
+func (a *Authority) Credentials(b TB) *peer.Credentials {
 	b.Helper()
 	if a == nil {
 		return nil
 	}
-	c, err := peer.LoadCredentials(a.issue(b, "control", peer.RoleControl), time.Now)
+	c, err := peer.LoadCredentials(a.Issue(b, "control", peer.RoleControl), time.Now)
 	if err != nil {
 		b.Fatal(err)
 	}
 	return c
 }
 
-// rawHost is a host with one open connection that sends prepared requests. It costs less than an HTTP client, so that
+// Host is a host with one open connection that sends prepared requests. It costs less than an HTTP client, so that
 // the figures are mostly those of the server.
-type rawHost struct {
+type Host struct {
 	name   string
 	role   peer.Role
 	config *tls.Config // nil for plain text
-	conn   net.Conn
-	buf    []byte
+	Conn   net.Conn    // nil when closed
+	Buf    []byte      // holds the last answer and is used again
 }
 
-func newRawHost(b *testing.B, a *authority, name string, role peer.Role) *rawHost {
+// NewHost returns a host without a connection. Without an authority it uses plain text.
+func NewHost(b TB, a *Authority, name string, role peer.Role) *Host {
 	b.Helper()
-	h := &rawHost{name: name, role: role}
+	h := &Host{name: name, role: role}
 	if a == nil {
 		return h
 	}
-	files := a.issue(b, name, role)
+	files := a.Issue(b, name, role)
 	cert, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
 	if err != nil {
 		b.Fatal(err)
@@ -94,29 +115,31 @@
 	return h
 }
 
-func (h *rawHost) dial(address string) error {
+// Dial opens the connection, with TLS if the host has a certificate.
+func (h *Host) Dial(address string) error {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return err
 	}
-	h.conn = conn
+	h.Conn = conn
 	if h.config == nil {
 		return nil
 	}
 	secure := tls.Client(conn, h.config)
-	h.conn = secure
+	h.Conn = secure
 	return secure.Handshake()
 }
 
-func (h *rawHost) close() {
-	if h.conn != nil {
-		_ = h.conn.Close()
-		h.conn = nil
+// Close ends the connection, if any.
+func (h *Host) Close() {
+	if h.Conn != nil {
+		_ = h.Conn.Close()
+		h.Conn = nil
 	}
 }
 
-// request returns the bytes that the system's HTTP client sends for a call.
-func (h *rawHost) request(b *testing.B, address, path string, m proto.Message) []byte {
+// Request returns the bytes that the system's HTTP client sends for a call.
+func (h *Host) Request(b TB, address, path string, m proto.Message) []byte {
 	b.Helper()
 	body, err := proto.Marshal(m)
 	if err != nil {
@@ -142,32 +165,32 @@
 	return out.Bytes()
 }
 
-// call sends a prepared request and returns the answer's body and the bytes on the connection without TLS framing.
-func (h *rawHost) call(request []byte) (body []byte, wire int, err error) {
-	if _, err := h.conn.Write(request); err != nil {
+// Call sends a prepared request and returns the answer's body and the bytes on the connection without TLS framing.
+func (h *Host) Call(request []byte) (body []byte, wire int, err error) {
+	if _, err := h.Conn.Write(request); err != nil {
 		return nil, 0, err
 	}
-	if h.buf == nil {
-		h.buf = make([]byte, 1024)
+	if h.Buf == nil {
+		h.Buf = make([]byte, 1024)
 	}
 	n, end, size := 0, -1, 0
 	for end < 0 || n < end+size {
-		if n == len(h.buf) {
-			h.buf = append(h.buf, make([]byte, max(n, end+size-n))...)
+		if n == len(h.Buf) {
+			h.Buf = append(h.Buf, make([]byte, max(n, end+size-n))...)
 		}
-		k, err := h.conn.Read(h.buf[n:])
+		k, err := h.Conn.Read(h.Buf[n:])
 		if err != nil {
 			return nil, 0, err
 		}
 		n += k
 		if end < 0 {
-			end, size = headerEnd(h.buf[:n])
+			end, size = headerEnd(h.Buf[:n])
 		}
 	}
-	if !bytes.HasPrefix(h.buf, []byte("HTTP/1.1 200")) {
-		return nil, 0, fmt.Errorf("answer %q", h.buf[:n])
+	if !bytes.HasPrefix(h.Buf, []byte("HTTP/1.1 200")) {
+		return nil, 0, fmt.Errorf("answer %q", h.Buf[:n])
 	}
-	return h.buf[end:n], len(request) + n, nil
+	return h.Buf[end:n], len(request) + n, nil
 }
 
 // headerEnd returns where the body starts and its length, or -1 while the headers are incomplete.
@@ -184,8 +207,8 @@
 	return end + 4, size
 }
 
-// eachHost runs f for every host with a bounded number at once and returns the first error.
-func eachHost(hosts []*rawHost, workers int, f func(i int, h *rawHost) error) error {
+// Each runs f for every host with a bounded number at once and returns the first error.
+func Each(hosts []*Host, workers int, f func(i int, h *Host) error) error {
 	var next atomic.Int64
 	var group sync.WaitGroup
 	errs := make(chan error, workers)
@@ -206,15 +229,15 @@
 	return <-errs
 }
 
-// cpuTime returns the processor time of this process so far.
-func cpuTime() time.Duration {
+// CPUTime returns the processor time of this process so far.
+func CPUTime() time.Duration {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// memory returns the heap and the stacks in use after a collection.
-func memory() float64 {
+// Memory returns the heap and the stacks in use after a collection.
+func Memory() float64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
@@ -222,19 +245,26 @@
 	return float64(m.HeapAlloc + m.StackInuse)
 }
 
-// answering starts a stand-in that gives the same answer to each request without an HTTP server. It shows the share of
-// the client, the sockets and TLS in a figure.
-func answering(b *testing.B, credentials *peer.Credentials, request int, answer []byte) string {
+// Listen opens a loopback port until the benchmark ends.
+func Listen(b TB) net.Listener {
 	b.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
+	b.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// ServeFixed starts a stand-in that gives the same answer to each request without an HTTP server. It shows the share of
+// the client, the sockets and TLS in a figure.
+func ServeFixed(b TB, credentials *peer.Credentials, request int, answer []byte) string {
+	b.Helper()
+	l := Listen(b)
 	address := l.Addr().String()
 	if credentials != nil {
 		l = tls.NewListener(l, credentials.ServerConfig())
 	}
-	b.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
 			conn, err := l.Accept()
