--- a/internal/control/capacity_bench_test.go
+++ b/internal/control/capacity_bench_test.go
@@ -271,7 +271,7 @@
 		vm := newBenchVM(b, nil)
 		f := newBenchFleet(b, vm, nil, n)
 		defer f.close()
-		if err := eachHost(f.hosts, benchWorkers, f.lease); err != nil {
+		if err := rpcload.Each(f.hosts, rpcload.Workers, f.lease); err != nil {
 			b.Fatal(err)
 		}
 		rows := 0
