Commit the totals of a host at its registration; stop an agent that was never registered

Cause: read in the review: an announcement of an unregistered host was acknowledged although its totals were not committed; an agent that was never registered ignored the first SIGTERM. Change: totals are committed again after the registration; leave returns when no configuration named this run. The time line records the ends of requests that were not answered; load counts queued and running requests only; the gate no longer limits connections a second time after the delivery.

--- a/internal/control/announce.go
+++ b/internal/control/announce.go
@@ -76,6 +76,10 @@
 		if err := s.control.batch.commit(ctx, batchItem{host: d.Register}); err != nil {
 			return nil, err
 		}
+		// The totals of a host that was not registered could not be committed before; the answer acknowledges them.
+		if err := s.commitTotals(ctx, req); err != nil {
+			return nil, err
+		}
 	}
 	return s.respond(ctx, req, d)
 }
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -165,6 +165,21 @@
 	r.g.Expect(ann.Code).To(BeEquivalentTo(result.PeerNotPermitted))
 }
 
+// Guards against an account that is acknowledged and lost, because the host was not registered when its totals came, as
+// after it was forgotten.
+func TestTotalsOfAnUnregisteredHost(t *testing.T) {
+	r := deployment(t)
+	h := r.host("h5", "ub-campus", "scan-vault")
+	h.Totals = []*memberpb.AccountTotal{{Service: 2, Unit: "flow", Count: 3}}
+	h.Callers = []*memberpb.CallerTotal{{Service: 2, Unit: "flow", Caller: "192.0.2.7", Count: 3}}
+	r.heartbeat(h)
+	r.log.replicas[0].state.Read(func(c *catalog.Catalog) {
+		svc := c.ServiceByID(2)
+		r.g.Expect(svc.Totals).To(ContainElement(And(HaveField("Host", "h5"), HaveField("Count", BeEquivalentTo(3)))))
+		r.g.Expect(svc.Callers).To(ContainElement(HaveField("Caller", "192.0.2.7")))
+	})
+}
+
 // Guards against false announcements that change the configuration.
 func TestFalseAnnouncements(t *testing.T) {
 	for fault, c := range map[string]struct {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -215,6 +215,14 @@
 	Entry("present run", &model.HostRef{Host: "u1"}, true),
 )
 
+// Guards against an agent that was never admitted and waits for ever to be told that it is drained.
+var _ = It("leaves at once when it was never registered", func(ctx SpecContext) {
+	r := &upstreamRole{process: testProcess(nil)}
+	r.leave(ctx)
+	Expect(ctx.Err()).NotTo(HaveOccurred())
+	Expect(r.leaving.Load()).To(BeTrue())
+}, SpecTimeout(time.Minute))
+
 // Guards against caller rows that are lost because the announcement that carried them was not accepted.
 var _ = It("repeats account rows until they are acknowledged", func() {
 	counter := account.NewCounter(0)
--- a/internal/daemon/upstream.go
+++ b/internal/daemon/upstream.go
@@ -91,7 +91,7 @@
 		Account:        r.counter,
 		OnMismatch:     r.mismatch,
 		OnDrainOverdue: r.overdue,
-		MaxConnections: p.settings.Upstream.MaxConnections,
+		Ended:          r.requestEnded,
 	})
 }
 
@@ -162,6 +162,14 @@
 	}
 }
 
+func (r *upstreamRole) requestEnded(service model.ServiceID, caller netip.Addr, code result.Code) {
+	if code != result.OK {
+		r.process.events.Record(timeline.Event{
+			Kind: timeline.KindRequest, Service: service, Caller: caller.String(), Code: code,
+		})
+	}
+}
+
 func (r *upstreamRole) mismatch(m account.Mismatch) {
 	r.process.events.Record(timeline.Event{
 		Kind: timeline.KindAccountMismatch, Service: m.Service, Code: result.AccountMismatch, Detail: m.Error(),
@@ -254,7 +262,7 @@
 			cold := r.health.cold()
 			r.agent.SetLocal(flow.Local{
 				AcceptNew: accept.allowed(r.announcer.Lease(), now, r.config.revision()) && !r.leaving.Load(),
-				Load:      float64(r.gate.Stats().Waiting) / float64(r.process.settings.Upstream.Slots),
+				Load:      r.load(),
 				Cold:      cold,
 			})
 			local := request.Local{Draining: r.leaving.Load() || r.drained.Load(), Cold: cold}
@@ -266,9 +274,18 @@
 	}
 }
 
+// load returns running and queued requests over slots.
+func (r *upstreamRole) load() float64 {
+	s := r.gate.Stats()
+	return float64(s.Running+s.Queued) / float64(r.process.settings.Upstream.Slots)
+}
+
 // leave drains the host: the control VMs move its buckets, and open flows and requests end on their own.
 func (r *upstreamRole) leave(ctx context.Context) {
 	r.leaving.Store(true)
+	if !r.admitted.Load() {
+		return // never registered, so it has no work, and nobody will say that it is drained
+	}
 	r.process.events.Record(timeline.Event{Kind: timeline.KindDrain, Detail: "leaving"})
 	ticker := time.NewTicker(leavePoll)
 	defer ticker.Stop()
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -63,6 +63,8 @@
 	// OnDrainOverdue is called with the remaining callers when a drain passes its deadline; may be nil. Neither
 	// function may call the gate or block.
 	OnDrainOverdue func(callers []string)
+	// Ended is called with the end of each caller's request; it must not block; may be nil.
+	Ended func(service model.ServiceID, caller netip.Addr, code result.Code)
 	// ErrorLog receives errors of the HTTP server; the standard logger if nil.
 	ErrorLog       *log.Logger
 	MaxBody        int64 // bytes; DefaultMaxBody if 0
@@ -458,7 +460,13 @@
 
 // end counts the end of a caller's request.
 func (g *Gate) end(c *call, code result.Code) {
-	if g.cfg.Account == nil || !c.counted {
+	if !c.counted {
+		return
+	}
+	if g.cfg.Ended != nil {
+		g.cfg.Ended(c.service, c.caller.Addr(), code)
+	}
+	if g.cfg.Account == nil {
 		return
 	}
 	g.cfg.Account.End(c.service, account.UnitRequest, c.caller.Addr(), code, g.intent(c.service), time.Now())
