Use the usual names for sequence checks and messages in flight

Cause: names such as hear and parcel need explaining. Change: advance, lastSequence, Envelope, expireMembers. Conclusion: names only.

--- a/internal/flow/assign.go
+++ b/internal/flow/assign.go
@@ -299,7 +299,7 @@
 	}
 }
 
-// decline tells the home that this agent does not own a flow. The home does not hear of it when the tombstone table is
+// decline tells the home that this agent does not own a flow. The home is not told when the tombstone table is
 // full: a decline without a tombstone would let a delayed copy of the SYN make this agent a second owner.
 func (m *machine) decline(now time.Time, svc *service, k packed, home uint16, p Packet, code result.Code, out []Action) []Action {
 	out = drop(p, code, out)
@@ -324,7 +324,7 @@
 		return out
 	}
 	b := svc.bucket(msg.Caller)
-	if !from.hear(msg.Sequence) || svc.homes[b] != selfPeer || msg.Generation < svc.since[b] {
+	if !from.advance(msg.Sequence) || svc.homes[b] != selfPeer || msg.Generation < svc.since[b] {
 		return out
 	}
 	k := pack(svc.index, msg.Caller)
--- a/internal/flow/claim.go
+++ b/internal/flow/claim.go
@@ -342,7 +342,7 @@
 // onAnswer records the owner of a flow or that a member does not own it.
 func (m *machine) onAnswer(now time.Time, from *peer, msg Answer, out []Action) []Action {
 	svc := m.services[msg.Service]
-	if svc == nil || svc.cfg == nil || msg.Incarnation != m.cfg.Self.Incarnation || !from.hear(msg.Sequence) {
+	if svc == nil || svc.cfg == nil || msg.Incarnation != m.cfg.Self.Incarnation || !from.advance(msg.Sequence) {
 		return out
 	}
 	if msg.Stale {
--- a/internal/flow/contract_test.go
+++ b/internal/flow/contract_test.go
@@ -260,7 +260,7 @@
 	n.Send(idle, 0, 0)
 	n.Flush() // the home has deleted its redirect and must ask
 	// The returned member registers before any other has confirmed its flows under the new generation.
-	n.RunLosing(4, func(p flownet.Parcel) bool { return flownet.Holds[flow.Register](p) && p.From.Host != lost })
+	n.RunLosing(4, func(p flownet.Envelope) bool { return flownet.Holds[flow.Register](p) && p.From.Host != lost })
 	n.Run(2 * time.Second)
 	if owners := n.Owners(reused.Key); len(owners) != 1 || owners[0] != second.Owner.Host {
 		t.Fatalf("owners %v, want %s", owners, second.Owner.Host)
--- a/internal/flow/fault_test.go
+++ b/internal/flow/fault_test.go
@@ -147,20 +147,20 @@
 
 // Guards against an owner that accepts a delayed assignment from an earlier time of the home, which has forgotten it.
 func TestDelayedAssignment(t *testing.T) {
-	cases := map[string]func(n *flownet.Network, c *flownet.Caller, delayed flownet.Parcel){
-		"home left and returned": func(n *flownet.Network, c *flownet.Caller, _ flownet.Parcel) {
+	cases := map[string]func(n *flownet.Network, c *flownet.Caller, delayed flownet.Envelope){
+		"home left and returned": func(n *flownet.Network, c *flownet.Caller, _ flownet.Envelope) {
 			n.InForce("h1", model.UpstreamDraining)
 			n.Run(time.Second)
 			n.InForce("h1", model.UpstreamActive)
 		},
-		"home restarted": func(n *flownet.Network, _ *flownet.Caller, _ flownet.Parcel) { n.Restart("h1"); n.ApplyAll() },
-		"owner restarted": func(n *flownet.Network, c *flownet.Caller, _ flownet.Parcel) {
+		"home restarted": func(n *flownet.Network, _ *flownet.Caller, _ flownet.Envelope) { n.Restart("h1"); n.ApplyAll() },
+		"owner restarted": func(n *flownet.Network, c *flownet.Caller, _ flownet.Envelope) {
 			for _, h := range []model.HostID{"h2", "h3", "h4"} {
 				n.Restart(h)
 			}
 			n.ApplyAll()
 		},
-		"flow ended": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Parcel) {
+		"flow ended": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Envelope) {
 			n.Queue = append(n.Queue, delayed)
 			n.Flush()
 			n.Update(c)
@@ -169,16 +169,16 @@
 			n.Close(c)
 			n.Run(100 * time.Millisecond)
 		},
-		"assignment declined": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Parcel) {
+		"assignment declined": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Envelope) {
 			n.SetLocal(delayed.To, flow.Local{AcceptNew: false})
 			n.Queue = append(n.Queue, delayed)
 			n.Flush()
 			n.SetLocal(delayed.To, flow.Local{AcceptNew: true})
 		},
-		"assignment audited": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Parcel) {
+		"assignment audited": func(n *flownet.Network, c *flownet.Caller, delayed flownet.Envelope) {
 			n.Run(50 * time.Second)
 		},
-		"bucket promised to a newer home": func(n *flownet.Network, c *flownet.Caller, _ flownet.Parcel) {
+		"bucket promised to a newer home": func(n *flownet.Network, c *flownet.Caller, _ flownet.Envelope) {
 			revision := n.State("h1", model.UpstreamDraining)
 			n.Apply(n.Home(c, revision), revision)
 			n.Entries[1] = revision
@@ -392,7 +392,7 @@
 	second := n.Reconnect(first)
 	n.InForce("h1", model.UpstreamActive)
 	// Every other member seals first, and the home does not audit.
-	n.RunLosing(4, func(p flownet.Parcel) bool {
+	n.RunLosing(4, func(p flownet.Envelope) bool {
 		return flownet.Holds[flow.Query](p) || flownet.Holds[flow.Register](p) && p.From == second.Owner
 	})
 	n.Run(500 * time.Millisecond)
--- a/internal/flow/machine.go
+++ b/internal/flow/machine.go
@@ -238,7 +238,7 @@
 }
 
 func (m *machine) tickService(now time.Time, svc *service, out []Action) []Action {
-	m.expireSeats(now, svc)
+	m.expireMembers(now, svc)
 	for _, s := range svc.members {
 		out = m.pump(now, svc, s, out)
 	}
--- a/internal/flow/messages.go
+++ b/internal/flow/messages.go
@@ -48,7 +48,7 @@
 	Owned       []netip.AddrPort
 	Free        []netip.AddrPort // not owned, and not accepted later under an older generation
 	// Sequence orders everything that one run of an agent says about its flows: Register, Answer, Decline and Release. A
-	// home ignores what is older than what it has heard, because it may have acted on the newer statement.
+	// home ignores what is older than what it has received, because it may have acted on the newer statement.
 	Sequence uint32
 	Stale    bool // the sender knows a newer generation with another home; Free is empty
 	Audit    bool
--- a/internal/flow/property_test.go
+++ b/internal/flow/property_test.go
@@ -19,7 +19,7 @@
 	*flownet.Network
 	rt      *rapid.T
 	callers [6]*flownet.Caller // few flows, so that many packets of one flow are under way
-	delayed []flownet.Parcel
+	delayed []flownet.Envelope
 }
 
 // Guards against schedules of packets, lost, repeated and reordered messages, uneven configurations, crashes and
@@ -90,7 +90,7 @@
 func (s *schedule) releaseDelayed() {
 	if len(s.delayed) > 0 {
 		i := s.pick(len(s.delayed), "delayed")
-		s.Queue = append([]flownet.Parcel{s.delayed[i]}, s.Queue...)
+		s.Queue = append([]flownet.Envelope{s.delayed[i]}, s.Queue...)
 		s.delayed = slices.Delete(s.delayed, i, i+1)
 		s.Deliver(0, false)
 	}
@@ -102,7 +102,7 @@
 		if len(s.Queue) == 0 {
 			return
 		}
-		i := s.pick(min(len(s.Queue), 8), "parcel")
+		i := s.pick(min(len(s.Queue), 8), "envelope")
 		switch s.pick(8, "fate") {
 		case 0:
 			s.Queue = slices.Delete(s.Queue, i, i+1)
--- a/internal/flow/record.go
+++ b/internal/flow/record.go
@@ -59,18 +59,18 @@
 
 // peer is another agent.
 type peer struct {
-	index       uint16
-	host        model.HostID
-	incarnation model.Incarnation // newest run seen in a configuration or message; 0 when unknown
-	heard       uint32            // sequence of the newest statement of that run
+	index        uint16
+	host         model.HostID
+	incarnation  model.Incarnation // newest run seen in a configuration or message; 0 when unknown
+	lastSequence uint32            // sequence of the newest statement of that run
 }
 
-// hear reports whether a statement is newer than all that were heard, and remembers it.
-func (p *peer) hear(sequence uint32) bool {
-	if sequence <= p.heard {
+// advance reports whether a statement is newer than all received ones, and records it as the newest.
+func (p *peer) advance(sequence uint32) bool {
+	if sequence <= p.lastSequence {
 		return false
 	}
-	p.heard = sequence
+	p.lastSequence = sequence
 	return true
 }
 
@@ -95,7 +95,7 @@
 		return
 	}
 	restarted := p.incarnation != 0
-	p.incarnation, p.heard = incarnation, 0
+	p.incarnation, p.lastSequence = incarnation, 0
 	if !restarted {
 		return
 	}
--- a/internal/flow/register.go
+++ b/internal/flow/register.go
@@ -151,7 +151,7 @@
 		}
 		return out
 	}
-	if msg.HomeIncarnation != m.cfg.Self.Incarnation || !from.hear(msg.Sequence) {
+	if msg.HomeIncarnation != m.cfg.Self.Incarnation || !from.advance(msg.Sequence) {
 		return out
 	}
 	member := svc.memberOf(from.index)
@@ -307,7 +307,7 @@
 // outdated: the sender may own a newer flow of the same caller port.
 func (m *machine) onRelease(from *peer, msg Release) {
 	svc := m.services[msg.Service]
-	if svc == nil || svc.cfg == nil || !from.hear(msg.Sequence) {
+	if svc == nil || svc.cfg == nil || !from.advance(msg.Sequence) {
 		return
 	}
 	for _, caller := range msg.Callers {
--- a/internal/flow/service.go
+++ b/internal/flow/service.go
@@ -304,9 +304,9 @@
 	return p.index
 }
 
-// expireSeats forgets flows of members that have been lost for lostGrace, members that were removed, and redirects of
+// expireMembers forgets flows of members that have been lost for lostGrace, members that were removed, and redirects of
 // buckets that this agent is no longer the home of.
-func (m *machine) expireSeats(now time.Time, svc *service) {
+func (m *machine) expireMembers(now time.Time, svc *service) {
 	kept := svc.members[:0]
 	for _, s := range svc.members {
 		if s.goneFor(now, lostGrace) && !s.swept {
--- a/standin/flownet/flownet.go
+++ b/standin/flownet/flownet.go
@@ -37,7 +37,7 @@
 	Agents  map[model.HostID]*Agent
 	Order   []model.HostID
 	Entries []int // revision in force at each entry VM
-	Queue   []Parcel
+	Queue   []Envelope
 	Drops   map[result.Code]int
 	Resets  map[result.Code]int
 	got     map[model.FlowKey]int // packets other than SYNs that reached a connection
@@ -56,8 +56,8 @@
 	Conns    map[model.FlowKey]bool // true when established
 }
 
-// Parcel is a packet or a peer message on its way.
-type Parcel struct {
+// Envelope is a packet or a peer message on its way.
+type Envelope struct {
 	To     model.HostID
 	From   model.HostRef
 	Packet *flow.Packet
@@ -205,7 +205,7 @@
 		return
 	}
 	p := flow.Packet{Key: c.Key, Flags: flags, Generation: svc.Generation, Raw: []byte("packet")}
-	n.Queue = append(n.Queue, Parcel{To: home, Packet: &p})
+	n.Queue = append(n.Queue, Envelope{To: home, Packet: &p})
 }
 
 // Talk sends what the caller would send in its state.
@@ -217,7 +217,7 @@
 	n.Send(c, entry, 0)
 }
 
-// Deliver hands over the i-th parcel in the queue.
+// Deliver hands over the i-th envelope in the queue.
 func (n *Network) Deliver(i int, keep bool) {
 	d := n.Queue[i]
 	if !keep {
@@ -250,8 +250,8 @@
 	n.Flush()
 }
 
-// RunLosing delivers everything but the parcels that match, for a number of ticks.
-func (n *Network) RunLosing(ticks int, lose func(Parcel) bool) {
+// RunLosing delivers everything but the envelopes that match, for a number of ticks.
+func (n *Network) RunLosing(ticks int, lose func(Envelope) bool) {
 	for range ticks {
 		n.Tick()
 		n.Queue = slices.DeleteFunc(n.Queue, lose)
@@ -285,13 +285,13 @@
 		switch x.Kind {
 		case flow.ActionForward:
 			p := x.Packet
-			n.Queue = append(n.Queue, Parcel{To: x.To, Packet: &p})
+			n.Queue = append(n.Queue, Envelope{To: x.To, Packet: &p})
 		case flow.ActionSend:
 			data, err := wire.Encode(x.Message)
 			if err != nil {
 				n.T.Fatalf("encode: %v", err)
 			}
-			n.Queue = append(n.Queue, Parcel{To: x.To, From: a.Ref, data: data})
+			n.Queue = append(n.Queue, Envelope{To: x.To, From: a.Ref, data: data})
 		case flow.ActionDeliver:
 			n.open(a, x.Packet)
 		case flow.ActionDrop:
@@ -440,7 +440,7 @@
 	if err != nil {
 		n.T.Fatalf("encode: %v", err)
 	}
-	n.Queue = append(n.Queue, Parcel{To: to, From: from, data: data})
+	n.Queue = append(n.Queue, Envelope{To: to, From: from, data: data})
 	n.Run(time.Second)
 }
 
@@ -482,8 +482,8 @@
 	n.InForce(h, model.UpstreamLost)
 }
 
-// Holds reports whether a parcel holds a message of type M.
-func Holds[M flow.Message](p Parcel) bool {
+// Holds reports whether a envelope holds a message of type M.
+func Holds[M flow.Message](p Envelope) bool {
 	m, _ := wire.Decode(p.data)
 	_, ok := m.(M)
 	return p.Packet == nil && ok
