Ask again for a retirement that the load of the moment forbids

Change: the walk and the fault cases share a function that plans and confirms again under a new key.

--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -137,31 +137,9 @@
   expect "revisions seen" "$revisions_seen" -gt 0
 }
 
-# carry_retirement HOST carries a retirement. While the load is above what the other hosts could carry, the plan is
-# refused with status 51, so it is asked for again under a new key.
-carry_retirement() {
-  local attempt=0 until=$((SECONDS + patience))
-  while true; do
-    attempt=$((attempt + 1))
-    status operate retire-host --key "retire-$1-$attempt" --host "$1" --deadline 5m
-    [[ $output == *PS5102* && $SECONDS -lt $until ]] || break
-    sleep 0.2
-  done
-  expect "exit status of the retirement's plan" "$exit" -eq 0
-  echo "$output" >"$dir/plan"
-  read_plan "$dir/plan"
-  operate confirm --intent "$intent" --plan "$plan" >/dev/null
-}
-
 # ended INTENT waits until a plan has ended; a flow whose caller vanished takes 40 s.
 ended() { operate --timeout 90s show --intent "$1" --wait; }
 
-# status COMMAND... runs a command, keeps its output in $output, and sets $exit.
-status() {
-  exit=0
-  output=$("$@" 2>&1) || exit=$?
-}
-
 # total UNIT FIELD prints a total of the closing report.
 total() { jq -r "[.records[].total | select(. != null and .unit == \"$1\") | .$2] | add // 0" "$dir/report.json"; }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -107,6 +107,37 @@
   operate confirm --intent "$intent" --plan "$plan" >/dev/null
 }
 
+# status COMMAND... runs a command, keeps its output in $output, and sets $exit.
+status() {
+  exit=0
+  output=$("$@" 2>&1) || exit=$?
+}
+
+# Time in seconds within which the load of the deployments in these scripts falls below what a retirement needs.
+retirement_patience=60
+
+# carry_retirement HOST carries a retirement. While the load is above what the other hosts could carry, plan or
+# confirmation are refused (PS5102, PS5101), so it is asked for again under a new key.
+carry_retirement() {
+  local attempt=0 until=$((SECONDS + retirement_patience))
+  while true; do
+    attempt=$((attempt + 1))
+    status operate retire-host --key "retire-$1-$attempt" --host "$1" --deadline 5m
+    if [ "$exit" -eq 0 ]; then
+      echo "$output" >"$dir/plan"
+      read_plan "$dir/plan"
+      status operate confirm --intent "$intent" --plan "$plan"
+      [ "$exit" -eq 0 ] && break
+    fi
+    if [[ $output != *PS510[12]* || $SECONDS -ge $until ]]; then
+      echo "the retirement of $1 was refused with status $exit: $output" >&2
+      return 1
+    fi
+    sleep 0.2
+  done
+  cat "$dir/plan"
+}
+
 # carry_out COMMAND... carries an intent and waits until its plan has ended.
 carry_out() {
   carry "$@"
--- a/scripts/walk.sh
+++ b/scripts/walk.sh
@@ -37,7 +37,7 @@
   echo "== $name: retire a host under traffic and lose the leader"
   standins start
   sleep 4
-  carry retire-host --key "retire-u1" --host "$name-u1" --deadline 5m
+  carry_retirement "$name-u1"
   retire=$intent
   sleep 1
   leader=$(leader_number)
