Catch up from near peers while no control VM answers

Cause: the design names entries and agents as configuration servers for near peers, but nobody asked them, so a process that restarted during a control outage stayed at its stored revision. Change: the long poll goes round the control VMs and then up to three peers of the own failure domain. Figures: new test: with both control VMs gone, a client at a stored revision ignores an older peer and takes five newer revisions from another one; before, it stayed at the stored one. Conclusion: a restarted process catches up from a near peer, and can go nowhere but forward.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"net/netip"
 	"os"
 	"slices"
 	"sync"
@@ -64,6 +66,7 @@
 		DataDir:      p.settings.DataDir,
 		Logger:       p.logger,
 		OnApply:      c.apply,
+		Near:         c.nearPeers,
 	})
 	if err != nil {
 		return nil, err
@@ -83,6 +86,37 @@
 	return append(slices.Clone(addresses[first:]), addresses[:first]...)
 }
 
+// maxNearPeers bounds the near peers that are asked while no control VM answers.
+const maxNearPeers = 3
+
+// nearPeers returns the base URLs of other entries and agents in the failure domain of this process, in an order that
+// differs between hosts.
+func (c *configuration) nearPeers(s *model.Snapshot) []string {
+	self, domain := c.process.ref.Host, c.process.settings.FailureDomain
+	addresses := map[model.HostID]netip.AddrPort{}
+	for host, up := range s.Upstreams {
+		if host != self && up.FailureDomain == domain {
+			addresses[host] = up.RPC
+		}
+	}
+	for host, e := range s.Entries {
+		if host != self && e.FailureDomain == domain {
+			addresses[host] = e.RPC
+		}
+	}
+	hosts := slices.Sorted(maps.Keys(addresses))
+	if len(hosts) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(string(self)) % uint64(len(hosts)))
+	var out []string
+	for i := range min(len(hosts), maxNearPeers) {
+		host := hosts[(first+i)%len(hosts)]
+		out = append(out, c.process.scheme()+"://"+addresses[host].String())
+	}
+	return out
+}
+
 // dataDirMode lets only the user of the process read its state.
 const dataDirMode = 0o700
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -143,6 +143,20 @@
 		Expect(path.revisions).To(Equal([]model.Revision{1, 2, 3}))
 	})
 
+	// Guards against a process that asks itself, or peers of other failure domains, while the control VMs are away.
+	It("names near peers of its own failure domain only", func() {
+		c, err := newConfiguration(testProcess(nil), &fakePath{})
+		Expect(err).NotTo(HaveOccurred())
+		s := snapshot(1, model.KeyRing{})
+		address := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7000) }
+		s.Upstreams["u1"] = &model.Upstream{FailureDomain: "d1", RPC: address(1)}
+		s.Upstreams["u2"] = &model.Upstream{FailureDomain: "d1", RPC: address(2)}
+		s.Upstreams["u3"] = &model.Upstream{FailureDomain: "d2", RPC: address(3)}
+		s.Entries["e1"] = &model.Entry{FailureDomain: "d1", RPC: address(4)}
+		Expect(c.nearPeers(s)).To(ConsistOf("http://10.0.0.2:7000", "http://10.0.0.4:7000"))
+		Expect(c.nearPeers(model.NewSnapshot())).To(BeEmpty())
+	})
+
 	// Guards against a reload that takes a key away while peers sign with it.
 	// Guards against an entry VM that shows revision 0 for a moment after a restart although it has a newer one on disk.
 	It("is in force before the process serves", func() {
--- a/internal/dissemination/client.go
+++ b/internal/dissemination/client.go
@@ -39,6 +39,9 @@
 	DataDir      string // empty if the process has none; the newest revision is then not kept
 	Logger       log.Logger
 	OnApply      func(s *model.Snapshot) // called from the client's goroutine, in order of revision
+	// Near returns base URLs of near peers that a configuration names; nil for none. They are asked only while no control
+	// VM answers, and can give nothing older than what the client has.
+	Near func(s *model.Snapshot) []string
 
 	Wait, Silence, Probe, Retry, Pace time.Duration
 }
@@ -162,6 +165,7 @@
 	refused bool          // the last response was not applied; another server may do better
 	rest    time.Duration // until the long poll may fetch
 	guided  bool          // hints tell of newer revisions, so that short fetches need not look for them
+	near    []string      // near peers of the long poll
 	hurry   bool          // a hinted revision is still missing; the next server is to be asked without a pause
 }
 
@@ -172,6 +176,9 @@
 		o.refused = !c.apply(a)
 	}
 	o.rest = c.rest()
+	if c.cfg.Near != nil {
+		o.near = c.cfg.Near(c.current)
+	}
 	o.guided = time.Since(c.heard) < c.cfg.Probe
 	if c.hinted > c.current.Revision && c.tries > 0 {
 		c.tries--
@@ -228,7 +235,8 @@
 // connection fetches from one server at a time.
 type connection struct {
 	cfg    ClientConfig
-	server int
+	server int      // index into the control VMs, followed by near
+	near   []string // empty for short fetches
 	kicks  chan struct{}
 
 	transport http.RoundTripper
@@ -255,11 +263,14 @@
 	failures := 0
 	for ctx.Err() == nil {
 		select {
-		case answers <- answer{from: c.cfg.Servers[c.server], res: last, reply: reply}:
+		case answers <- answer{from: c.address(), res: last, reply: reply}:
 		case <-ctx.Done():
 			return
 		}
 		o := <-reply
+		if pause == 0 {
+			c.near = o.near
+		}
 		if pause > 0 && (last != nil || o.guided) && !o.hurry {
 			last = nil // asks for a new order after the pause, since another connection may apply a revision meanwhile
 			c.sleep(ctx, pause)
@@ -287,12 +298,27 @@
 		if !o.refused {
 			failures = 0
 		}
-		if pause > 0 {
-			c.leave()
+		if pause > 0 || c.atPeer() {
+			c.leave() // a near peer is asked once, then the control VMs again
 		}
 	}
 }
 
+// atPeer tells whether the present server is a near peer. A peer that left the list counts as one that has no address.
+func (c *connection) atPeer() bool { return c.server >= len(c.cfg.Servers) }
+
+// address returns the base URL of the present server.
+func (c *connection) address() string {
+	if !c.atPeer() {
+		return c.cfg.Servers[c.server]
+	}
+	if i := c.server - len(c.cfg.Servers); i < len(c.near) {
+		return c.near[i]
+	}
+	c.server = 0
+	return c.cfg.Servers[0]
+}
+
 func backoff(base time.Duration, failures int) time.Duration {
 	return min(base<<min(failures-1, 10), MaxRetry)
 }
@@ -302,7 +328,7 @@
 func (c *connection) fetch(ctx context.Context, req *configpb.FetchRequest, wait time.Duration) (*configpb.FetchResponse, error) {
 	if c.service == nil {
 		c.transport = c.cfg.NewTransport()
-		c.service = configpb.NewConfigurationProtobufClient(c.cfg.Servers[c.server], &http.Client{Transport: c.transport})
+		c.service = configpb.NewConfigurationProtobufClient(c.address(), &http.Client{Transport: c.transport})
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+c.cfg.Silence)
 	defer cancel()
@@ -315,7 +341,7 @@
 		t.CloseIdleConnections()
 	}
 	c.transport, c.service = nil, nil
-	c.server = (c.server + 1) % len(c.cfg.Servers)
+	c.server = (c.server + 1) % (len(c.cfg.Servers) + len(c.near))
 }
 
 func (c *connection) sleep(ctx context.Context, d time.Duration) {
--- a/internal/dissemination/dissemination_test.go
+++ b/internal/dissemination/dissemination_test.go
@@ -181,6 +181,36 @@
 	return web.URL
 }
 
+// Guards against a process that cannot catch up while no control VM answers although a near peer has newer revisions, and
+// that goes back to an older one because of a peer.
+func TestClientCatchesUpFromNearPeers(t *testing.T) {
+	g := NewWithT(t)
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	dir := t.TempDir()
+	first := sized(3, 9, 2)
+	stored := change(first)
+	g.Expect(dissemination.Save(dir, stored)).To(Succeed())
+	older, newer := dissemination.NewServer(), dissemination.NewServer()
+	g.Expect(older.Publish(first)).To(Succeed())
+	next := stored
+	for range 5 {
+		next = change(next)
+	}
+	g.Expect(newer.Publish(next)).To(Succeed())
+	peers := []string{serve(t, older), serve(t, newer)}
+	applied, _ := startClient(t, dissemination.ClientConfig{
+		Host: "e1", Servers: []string{gone.URL, gone.URL}, DataDir: dir, Wait: time.Millisecond,
+		Near: func(*model.Snapshot) []string { return peers },
+	})
+	var got *model.Snapshot
+	g.Eventually(applied, time.Minute).Should(Receive(&got))
+	g.Expect(got.Revision).To(Equal(stored.Revision))
+	g.Eventually(applied, time.Minute).Should(Receive(&got))
+	g.Expect(got.Revision).To(Equal(next.Revision))
+	g.Expect(dissemination.Digest(got)).To(Equal(dissemination.Digest(next)))
+}
+
 // Guards against a process that goes back to an older revision from a partitioned control VM, before or after its own
 // restart.
 func TestClientNeverReverts(t *testing.T) {
