--- a/internal/dissemination/client.go
+++ b/internal/dissemination/client.go
@@ -21,7 +21,7 @@
 	DefaultRetry   = 200 * time.Millisecond // pause after a failed fetch
 	MaxRetry       = 5 * time.Second        // the pause doubles with each failure in a row up to this
 	// DefaultPace is the mean time between revisions after a burst of PaceBurst. At the target sizes an entry VM needs
-	// 79 ms of processor time to put a revision into force, and a failure domain that returns makes hundreds of them
+	// 42 ms of processor time to put a revision into force, and a failure domain that returns makes hundreds of them
 	// within seconds; one delta then joins those of a second. It is well below the 3 s within which a leaving upstream
 	// gets no new work.
 	DefaultPace = time.Second
