--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -41,6 +41,8 @@
 	finishPatience = 5 * time.Second
 	// shutdownPoll spaces the checks whether a gate that shuts down has work left.
 	shutdownPoll = 20 * time.Millisecond
+	// noIntent leaves the attribution of ends to intents to the catalog, which knows the plans.
+	noIntent = 0
 	// checkInterval spaces the checks of the account equation.
 	checkInterval = time.Second
 )
@@ -56,8 +58,6 @@
 	Peers func(model.HostID) (gatepb.Gate, bool)
 	// Account counts callers' requests; nil for none.
 	Account *account.Counter
-	// Intent returns the intent in progress for a service, 0 for none; may be nil.
-	Intent func(model.ServiceID) uint64
 	// OnMismatch is called when the account equation does not hold; may be nil.
 	OnMismatch func(account.Mismatch)
 	// OnDrainOverdue is called with the remaining callers when a drain passes its deadline; may be nil. Neither
@@ -469,12 +469,5 @@
 	if g.cfg.Account == nil {
 		return
 	}
-	g.cfg.Account.End(c.service, account.UnitRequest, c.caller.Addr(), code, g.intent(c.service), time.Now())
-}
-
-func (g *Gate) intent(id model.ServiceID) uint64 {
-	if g.cfg.Intent == nil {
-		return 0
-	}
-	return g.cfg.Intent(id)
+	g.cfg.Account.End(c.service, account.UnitRequest, c.caller.Addr(), code, noIntent, time.Now())
 }
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -186,7 +186,7 @@
 		return
 	}
 	c.counted = true
-	g.cfg.Account.Start(c.service, account.UnitRequest, g.intent(c.service))
+	g.cfg.Account.Start(c.service, account.UnitRequest, noIntent)
 }
 
 func (g *Gate) readRequest(c *call, w http.ResponseWriter, r *http.Request) result.Code {
