Forward whole packets on the users' machines: thin path

Cause: on the users' machines the system must not terminate flows; the product could only terminate them.

Entries and agents hold only caches.

--- a/cmd/plantainseamd/main.go
+++ b/cmd/plantainseamd/main.go
@@ -15,13 +15,15 @@
 	"github.com/plantainseam/plantainseam/internal/logging"
 	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/internal/settings"
+	"github.com/plantainseam/plantainseam/platform"
 )
 
 // exitUsage is the exit status for wrong arguments.
 const exitUsage = 2
 
 type options struct {
-	Config      string `long:"config" value-name:"FILE" required:"true" description:"settings file"`
+	Config      string `long:"config" value-name:"FILE" description:"settings file"`
+	Platform    bool   `long:"platform" description:"take the settings from the machine platform and forward whole packets"`
 	CheckConfig bool   `long:"check-config" description:"check the settings and exit"`
 	InitData    bool   `long:"init-data" description:"create the data directory of a control VM, print its identity and exit"`
 }
@@ -42,6 +44,12 @@
 }
 
 func run(o options) error {
+	if o.Platform {
+		return platform.Run()
+	}
+	if o.Config == "" {
+		return result.Errorf(result.SettingsMissing, "--config or --platform")
+	}
 	s, err := settings.Load(o.Config)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/declared/declared.go
@@ -0,0 +1,89 @@
+// Package declared is the replicated state machine of declarations: whole statements of which addresses lead to which
+// services. The declaration with the highest version is in force. Its content is opaque here.
+package declared
+
+import (
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/plantainseam/plantainseam/internal/result"
+)
+
+// versionSize is the size of the version in front of a command or snapshot, in bytes.
+const versionSize = 8
+
+// Machine implements consensus.StateMachine. Held may be called from any goroutine.
+type Machine struct {
+	mu      sync.Mutex
+	version uint64
+	content []byte
+	changed func(version uint64)
+}
+
+// New returns an empty machine. changed, if not nil, is called after each change of the version in force.
+func New(changed func(version uint64)) *Machine { return &Machine{changed: changed} }
+
+// Command returns the command that declares the content under the version, which must not be 0.
+func Command(version uint64, content []byte) []byte {
+	return append(binary.BigEndian.AppendUint64(nil, version), content...)
+}
+
+// Apply implements consensus.StateMachine. A version that is not higher than the one in force changes nothing. The answer
+// is the version in force afterwards.
+func (m *Machine) Apply(_ uint64, _ time.Time, command []byte) []byte {
+	version, content, err := split(command)
+	if err != nil {
+		return nil
+	}
+	m.mu.Lock()
+	higher := version > m.version
+	if higher {
+		m.version, m.content = version, content
+	}
+	held := m.version
+	m.mu.Unlock()
+	if higher && m.changed != nil {
+		m.changed(held)
+	}
+	return binary.BigEndian.AppendUint64(nil, held)
+}
+
+func split(data []byte) (uint64, []byte, error) {
+	if len(data) < versionSize {
+		return 0, nil, result.Errorf(result.DeclarationInvalid, "command of %d bytes has no version", len(data))
+	}
+	return binary.BigEndian.Uint64(data), data[versionSize:], nil
+}
+
+// Snapshot implements consensus.StateMachine.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Command(m.version, m.content), nil
+}
+
+// Restore implements consensus.StateMachine.
+func (m *Machine) Restore(snapshot []byte) error {
+	version, content, err := uint64(0), []byte(nil), error(nil)
+	if len(snapshot) > 0 { // the first snapshot of a log is empty
+		if version, content, err = split(snapshot); err != nil {
+			return fmt.Errorf("restore declarations: %w", err)
+		}
+	}
+	m.mu.Lock()
+	m.version, m.content = version, content
+	m.mu.Unlock()
+	if m.changed != nil && version > 0 {
+		m.changed(version)
+	}
+	return nil
+}
+
+// Held returns the version in force and its content, which must not be changed; version 0 for none.
+func (m *Machine) Held() (uint64, []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version, m.content
+}
--- /dev/null
+++ b/internal/forwarder/agent.go
@@ -0,0 +1,236 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/plantainseam/plantainseam/internal/passthrough"
+	"github.com/plantainseam/plantainseam/internal/roster"
+	"github.com/plantainseam/plantainseam/internal/udp"
+	"github.com/plantainseam/plantainseam/internal/upstream"
+)
+
+// Agent is the process beside an upstream.
+type Agent struct {
+	*link
+	machine  *passthrough.Agent
+	tracker  upstream.Tracker
+	conn     *net.UDPConn // packets of other nodes
+	outbound *net.UDPConn // packets of the upstream
+	counts   *counters
+}
+
+// NewAgent opens the sockets of an agent.
+func NewAgent(cfg Config) (*Agent, error) {
+	conns, err := udp.Listen(cfg.Tunnel, 1)
+	if err != nil {
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	outbound, err := udp.Listen(cfg.Outbound, 1)
+	if err != nil {
+		udp.Close(conns)
+		return nil, fmt.Errorf("agent, packets of the upstream: %w", err)
+	}
+	a := &Agent{
+		link: newLink(cfg), conn: conns[0], outbound: outbound[0], counts: newCounters(),
+		machine: passthrough.NewAgent(passthrough.EndpointOf(cfg.Tunnel), cfg.Domain),
+		tracker: upstream.Tracker{Silence: cfg.UpstreamSilence},
+	}
+	a.client = roster.NewClient(roster.ClientConfig{
+		Seeds: cfg.Seeds, RPCPort: cfg.RPCPort, Domain: cfg.Domain, Logger: cfg.Logger,
+		Self: a.record, Held: a.version, Update: a.update,
+	})
+	return a, nil
+}
+
+func (a *Agent) record() roster.Record {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	u := a.tracker.Upstream(now)
+	flows, busy := a.machine.Load()
+	r := roster.Record{
+		Kind: roster.KindAgent, Address: a.cfg.Tunnel.Addr(), TunnelPort: a.cfg.Tunnel.Port(), FailureDomain: a.cfg.Domain,
+		Service: u.Service, Slots: u.Slots, Flows: uint32(max(flows, 0)), Busy: uint32(max(busy, 0)),
+		Incarnation: a.cfg.Incarnate, Leaving: a.leaving,
+	}
+	if last, ok := a.tracker.Last(); ok {
+		r.State = roster.StateActive
+		if !u.Active {
+			r.State = roster.StateDraining
+		}
+		if u.Cold {
+			r.Warmup = last.Warmup
+		}
+	}
+	if a.table != nil {
+		r.Version = a.table.Version
+	}
+	return r
+}
+
+func (a *Agent) update(v roster.View) {
+	t := a.adopt(v)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t != nil {
+		a.machine.SetTable(t)
+	}
+	if v.Settled || !a.settled {
+		a.settled = v.Settled
+		a.machine.SetRoster(passthrough.NewRoster(roster.Peers(v.Records), v.Settled))
+	}
+}
+
+// Announce processes an announcement of the upstream. When it returns, the agent acts on it.
+func (a *Agent) Announce(n upstream.Announcement) upstream.Outcome {
+	a.mu.Lock()
+	now := time.Now()
+	before := a.tracker.Upstream(now)
+	outcome := a.tracker.Announce(now, n)
+	after := a.tracker.Upstream(now)
+	a.machine.SetUpstream(after, outcome == upstream.Restarted)
+	a.mu.Unlock()
+	if before.Active != after.Active || before.Service != after.Service || outcome != upstream.Accepted {
+		_ = a.cfg.Logger.Log("event", "upstream_announced", "upstream", n.ID, "service", n.Service, "sequence", n.Sequence,
+			"born", n.Born, "draining", n.Draining, "outcome", outcome, "active", after.Active)
+		a.client.Wake()
+	}
+	return outcome
+}
+
+// Gone processes the end of the upstream with the identity.
+func (a *Agent) Gone(id string) {
+	a.mu.Lock()
+	known := a.tracker.Leave(id)
+	a.machine.SetUpstream(a.tracker.Upstream(time.Now()), false)
+	a.mu.Unlock()
+	_ = a.cfg.Logger.Log("event", "upstream_gone", "upstream", id, "known", known)
+	if known {
+		a.client.Wake()
+	}
+}
+
+// Ready reports whether the agent has a declaration and is not stopping.
+func (a *Agent) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table != nil && !a.leaving
+}
+
+// Leave tells the control VM that this process stops. It returns when that is told or ctx is done.
+func (a *Agent) Leave(ctx context.Context) {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	a.client.Report(ctx)
+}
+
+// Run forwards packets until ctx is done.
+func (a *Agent) Run(ctx context.Context) error {
+	go a.client.Run(ctx)
+	go a.expire(ctx)
+	go func() {
+		<-ctx.Done()
+		_ = a.conn.Close()
+		_ = a.outbound.Close()
+	}()
+	go a.read(ctx, a.outbound, a.fromHost)
+	a.read(ctx, a.conn, a.fromPeer)
+	return nil
+}
+
+func (a *Agent) read(ctx context.Context, conn *net.UDPConn, handle func(b, out []byte) []byte) {
+	in := make([]byte, maxDatagram)
+	out := make([]byte, 0, 2*maxDatagram)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(in)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			a.counts.add("socket_error")
+			continue
+		}
+		out = handle(in[:n], out[:0])
+	}
+}
+
+func (a *Agent) fromPeer(b, out []byte) []byte {
+	datagram, err := passthrough.Decode(b)
+	if err != nil || datagram.Forward == nil {
+		a.counts.add("malformed")
+		return out
+	}
+	s, err := a.cfg.Codec.Caller(datagram.Packet)
+	if err != nil {
+		a.counts.add("malformed")
+		return out
+	}
+	a.mu.Lock()
+	d := a.machine.FromPeer(a.now(), s, *datagram.Forward)
+	a.mu.Unlock()
+	return a.carryOut(s, d, datagram.Packet, out)
+}
+
+func (a *Agent) fromHost(b, out []byte) []byte {
+	s, err := a.cfg.Codec.Host(b)
+	if err != nil {
+		a.counts.add("malformed")
+		return out
+	}
+	a.mu.Lock()
+	d := a.machine.FromHost(a.now(), s)
+	a.mu.Unlock()
+	return a.carryOut(s, d, b, out)
+}
+
+func (a *Agent) carryOut(s passthrough.Segment, d passthrough.Decision, packet, out []byte) []byte {
+	a.counts.decision(d)
+	switch d.Verdict {
+	case passthrough.ToHost:
+		a.send(packet, a.cfg.Upstream)
+	case passthrough.ToPeer:
+		a.cfg.Codec.Clean(packet)
+		out = passthrough.AppendForward(out, d.Forward, packet)
+		a.send(out, d.Peer.AddrPort())
+	case passthrough.ToCaller:
+		a.send(packet, callerAddress(s, a.cfg.Tunnel))
+		if d.Hint != nil {
+			out = passthrough.AppendHolds(out, *d.Hint)
+			a.send(out, d.HintTo.AddrPort())
+		}
+	case passthrough.SendReset:
+		out = a.cfg.Codec.AppendReset(out, s)
+		a.logFlow(s, d)
+		a.send(out, callerAddress(s, a.cfg.Tunnel))
+	case passthrough.Drop:
+		a.logFlow(s, d)
+	}
+	return out
+}
+
+func (a *Agent) send(b []byte, to netip.AddrPort) {
+	if _, err := a.conn.WriteToUDPAddrPort(b, to); err != nil {
+		a.counts.add("send_error")
+	}
+}
+
+func (a *Agent) expire(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.mu.Lock()
+			a.machine.Expire(a.now())
+			a.machine.SetUpstream(a.tracker.Upstream(time.Now()), false)
+			a.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/internal/forwarder/config.go
@@ -0,0 +1,103 @@
+// Package forwarder runs the processes that forward whole packets: entries and agents with their sockets, and the link
+// to the control VMs. Decisions are made by package passthrough.
+package forwarder
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/plantainseam/plantainseam/internal/passthrough"
+	"github.com/plantainseam/plantainseam/internal/roster"
+)
+
+// Codec reads and writes the packets between callers and upstreams.
+type Codec interface {
+	// Caller reads a packet that a caller sent.
+	Caller(packet []byte) (passthrough.Segment, error)
+	// Host reads a packet that an upstream sent or returned. The flow is the caller's view in both cases.
+	Host(packet []byte) (passthrough.Segment, error)
+	// Clean removes in place the marks of an earlier delivery.
+	Clean(packet []byte)
+	// AppendReset appends a reset of the flow to the caller.
+	AppendReset(buf []byte, s passthrough.Segment) []byte
+}
+
+// Declarations reads a declaration.
+type Declarations func(content []byte) (*passthrough.Table, error)
+
+// Config holds what entries and agents need.
+type Config struct {
+	Name      string
+	Domain    string // failure domain
+	Tunnel    netip.AddrPort
+	Seeds     []netip.AddrPort // RPC addresses of control VMs
+	RPCPort   uint16
+	Codec     Codec
+	Read      Declarations
+	Logger    log.Logger
+	Incarnate uint64
+
+	// Agents only.
+	Outbound        netip.AddrPort // where the upstream sends its packets
+	Upstream        netip.AddrPort
+	Service         string
+	UpstreamSilence time.Duration
+}
+
+// maxDatagram is the largest datagram between nodes in bytes: 1,232 of a packet, and a header with the longest list.
+const maxDatagram = 2048
+
+// link is what entries and agents share: the roster client and the declaration in force.
+type link struct {
+	cfg     Config
+	client  *roster.Client
+	started time.Time
+
+	mu      sync.Mutex // guards the machine of the role as well
+	table   *passthrough.Table
+	settled bool
+	leaving bool
+}
+
+func newLink(cfg Config) *link {
+	l := &link{cfg: cfg, started: time.Now()}
+	return l
+}
+
+// now returns the time of the machines: milliseconds since the start of the process on the steady clock.
+func (l *link) now() int64 { return time.Since(l.started).Milliseconds() }
+
+// adopt puts the declaration of a view in force if it is newer, and returns the table if it changed.
+func (l *link) adopt(v roster.View) *passthrough.Table {
+	if len(v.Declaration) == 0 {
+		return nil
+	}
+	t, err := l.cfg.Read(v.Declaration)
+	if err != nil {
+		_ = l.cfg.Logger.Log("event", "declaration_unreadable", "version", v.Version, "from", v.From, "error", err)
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.table != nil && t.Version <= l.table.Version {
+		return nil
+	}
+	l.table = t
+	_ = l.cfg.Logger.Log("event", "declaration_in_force", "version", t.Version, "routes", len(t.Routes), "from", v.From)
+	return t
+}
+
+func (l *link) version() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.table == nil {
+		return 0
+	}
+	return l.table.Version
+}
+
+// SetSeeds replaces the given control VMs after a reload.
+func (l *link) SetSeeds(seeds []netip.AddrPort) { l.client.SetSeeds(seeds) }
--- /dev/null
+++ b/internal/forwarder/entry.go
@@ -0,0 +1,182 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/plantainseam/plantainseam/internal/passthrough"
+	"github.com/plantainseam/plantainseam/internal/roster"
+	"github.com/plantainseam/plantainseam/internal/udp"
+)
+
+// expiryInterval is how often idle flows are looked for.
+const expiryInterval = time.Second
+
+// Entry is an entry VM.
+type Entry struct {
+	*link
+	machine *passthrough.Entry
+	conn    *net.UDPConn
+	counts  *counters
+}
+
+// NewEntry opens the socket of an entry.
+func NewEntry(cfg Config) (*Entry, error) {
+	conns, err := udp.Listen(cfg.Tunnel, 1)
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	e := &Entry{
+		link: newLink(cfg), conn: conns[0], counts: newCounters(),
+		machine: passthrough.NewEntry(passthrough.EndpointOf(cfg.Tunnel), cfg.Domain),
+	}
+	e.client = roster.NewClient(roster.ClientConfig{
+		Seeds: cfg.Seeds, RPCPort: cfg.RPCPort, Domain: cfg.Domain, Logger: cfg.Logger,
+		Self: e.record, Held: e.version, Update: e.update,
+	})
+	return e, nil
+}
+
+func (e *Entry) record() roster.Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := roster.Record{
+		Kind: roster.KindEntry, Address: e.cfg.Tunnel.Addr(), TunnelPort: e.cfg.Tunnel.Port(), FailureDomain: e.cfg.Domain,
+		Flows: uint32(e.machine.Flows()), Incarnation: e.cfg.Incarnate, Leaving: e.leaving,
+	}
+	if e.table != nil {
+		r.Version = e.table.Version
+	}
+	return r
+}
+
+func (e *Entry) update(v roster.View) {
+	t := e.adopt(v)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if t != nil {
+		e.machine.SetTable(t)
+	}
+	// A control VM that has just started does not know every agent. What this entry knows of the others stays.
+	if v.Settled || !e.settled {
+		e.settled = v.Settled
+		e.machine.SetRoster(passthrough.NewRoster(roster.Peers(v.Records), v.Settled))
+	}
+}
+
+// Ready reports whether the entry may receive callers' packets.
+func (e *Entry) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.table != nil && !e.leaving
+}
+
+// Leave makes the entry not ready. It goes on forwarding.
+func (e *Entry) Leave() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.client.Wake()
+}
+
+// Run forwards packets until ctx is done.
+func (e *Entry) Run(ctx context.Context) error {
+	go e.client.Run(ctx)
+	go e.expire(ctx)
+	go func() {
+		<-ctx.Done()
+		_ = e.conn.Close()
+	}()
+	in := make([]byte, maxDatagram)
+	out := make([]byte, 0, 2*maxDatagram)
+	for {
+		n, from, err := e.conn.ReadFromUDPAddrPort(in)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			e.counts.add("socket_error")
+			continue
+		}
+		out = e.handle(in[:n], from, out[:0])
+	}
+}
+
+// handle processes one datagram. It returns the buffer for the next call.
+func (e *Entry) handle(b []byte, from netip.AddrPort, out []byte) []byte {
+	if passthrough.IsInternal(b) {
+		e.internal(b, from)
+		return out
+	}
+	s, err := e.cfg.Codec.Caller(b)
+	if err != nil {
+		e.counts.add("malformed")
+		return out
+	}
+	e.mu.Lock()
+	d := e.machine.Packet(e.now(), s)
+	e.mu.Unlock()
+	e.counts.decision(d)
+	switch d.Verdict {
+	case passthrough.ToPeer:
+		out = passthrough.AppendForward(out, d.Forward, b)
+		e.send(out, d.Peer.AddrPort())
+	case passthrough.SendReset:
+		out = e.cfg.Codec.AppendReset(out, s)
+		e.logFlow(s, d)
+		e.send(out, callerAddress(s, e.cfg.Tunnel))
+	case passthrough.Drop:
+		e.logFlow(s, d)
+	}
+	return out
+}
+
+// callerAddress returns where packets for a caller are sent.
+func callerAddress(s passthrough.Segment, tunnel netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(s.Flow.Caller.IP), tunnel.Port())
+}
+
+func (l *link) logFlow(s passthrough.Segment, d passthrough.Decision) {
+	_ = l.cfg.Logger.Log("event", "flow_refused", "flow", s.Flow, "opens", s.Opens(), "reason", d.Reason,
+		"reset", d.Verdict == passthrough.SendReset, "version", l.version())
+}
+
+func (e *Entry) send(b []byte, to netip.AddrPort) {
+	if _, err := e.conn.WriteToUDPAddrPort(b, to); err != nil {
+		e.counts.add("send_error")
+	}
+}
+
+func (e *Entry) internal(b []byte, from netip.AddrPort) {
+	d, err := passthrough.Decode(b)
+	if err != nil {
+		e.counts.add("malformed")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case d.Holds != nil:
+		e.machine.Holds(e.now(), passthrough.EndpointOf(from), *d.Holds)
+	case d.Away:
+		e.machine.Away(e.now(), passthrough.EndpointOf(from))
+	}
+}
+
+func (e *Entry) expire(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.mu.Lock()
+			e.machine.Expire(e.now())
+			e.mu.Unlock()
+		}
+	}
+}
--- /dev/null
+++ b/internal/passthrough/agent.go
@@ -0,0 +1,231 @@
+package passthrough
+
+import "slices"
+
+// Upstream is what an agent knows of the upstream process on its VM.
+type Upstream struct {
+	Service string
+	Active  bool // it takes new flows
+	Slots   uint32
+	Cold    bool
+}
+
+// tentativeMs is how long an agent remembers a flow that its upstream has not answered: a search visits at most
+// MaxVisited agents, each a few milliseconds away.
+const tentativeMs = 3000
+
+// closedMs is how long a flow is remembered after its upstream sent a FIN or RST, for the last acknowledgements.
+const closedMs = 2000
+
+// openHops bounds the agents that a packet which opens a flow is passed to. The caller repeats the packet after 200 ms,
+// and three hops take less than 30 ms.
+const openHops = 3
+
+// agentFlow is what an agent remembers of a flow.
+type agentFlow struct {
+	entry   Endpoint // that sent the last packet
+	told    Endpoint // that knows that the flow is here
+	header  Forward  // of the last packet, in case the upstream returns it
+	seenMs  int64
+	held    bool // the upstream answered
+	busy    bool // the last request is not answered
+	closing bool
+}
+
+// Agent delivers packets to the upstream on its VM and passes on what that does not hold. It is used by one goroutine.
+type Agent struct {
+	Self     Endpoint
+	table    *Table
+	roster   *Roster
+	choice   chooser
+	upstream Upstream
+	flows    map[Flow]*agentFlow
+	open     int // held flows that are not closing
+	busy     int // flows with an unanswered request
+}
+
+// NewAgent returns an agent in a failure domain.
+func NewAgent(self Endpoint, domain string) *Agent {
+	return &Agent{Self: self, roster: NewRoster(nil, false), choice: chooser{domain: domain}, flows: map[Flow]*agentFlow{}}
+}
+
+// SetTable puts a declaration in force.
+func (a *Agent) SetTable(t *Table) { a.table = t }
+
+// SetRoster replaces the roster.
+func (a *Agent) SetRoster(r *Roster) { a.roster = r }
+
+// SetUpstream replaces what is known of the upstream. A new incarnation holds no flows.
+func (a *Agent) SetUpstream(u Upstream, restarted bool) {
+	a.upstream = u
+	if restarted {
+		clear(a.flows)
+		a.open, a.busy = 0, 0
+	}
+}
+
+// Load returns the open flows and those with an unanswered request.
+func (a *Agent) Load() (flows, busy int) { return a.open, a.busy }
+
+// accepts reports whether the upstream may take a new flow, by the newer of the two declarations.
+func (a *Agent) accepts(f Flow, h Forward) (bool, Reason) {
+	if !a.upstream.Active {
+		return false, ReasonNotMine
+	}
+	if a.table == nil {
+		return false, ReasonNoTable
+	}
+	if h.Version > a.table.Version {
+		return h.Service == ServiceTag(a.upstream.Service), ReasonService
+	}
+	route := a.table.Routes[f.Front]
+	return route != nil && route.Allows(a.upstream.Service), ReasonService
+}
+
+// FromPeer decides about a packet that an entry or another agent forwarded.
+func (a *Agent) FromPeer(now int64, s Segment, h Forward) Decision {
+	f := a.flows[s.Flow]
+	if s.Opens() && (f == nil || !f.held || f.closing) {
+		if ok, reason := a.accepts(s.Flow, h); !ok {
+			return a.passOpening(s, h, reason)
+		}
+	}
+	if f == nil {
+		f = &agentFlow{}
+		a.flows[s.Flow] = f
+	}
+	f.entry, f.header, f.seenMs = h.Entry, h, now
+	if s.Data > 0 && !f.busy {
+		f.busy = true
+		a.busy++
+	}
+	return Decision{Verdict: ToHost, Reason: ReasonKnown}
+}
+
+// passOpening gives a packet that opens a flow to another agent.
+func (a *Agent) passOpening(s Segment, h Forward, reason Reason) Decision {
+	visited := append(slices.Clone(h.Visited), a.Self)
+	if a.table == nil {
+		return Decision{Verdict: Drop, Reason: ReasonNoTable}
+	}
+	route := a.table.Routes[s.Flow.Front]
+	if route == nil {
+		if h.Version > a.table.Version {
+			return Decision{Verdict: Drop, Reason: reason}
+		}
+		return Decision{Verdict: SendReset, Reason: ReasonNoRoute}
+	}
+	var p *Peer
+	service := route.pick(s.Flow)
+	if len(visited) <= openHops {
+		p = a.choice.choose(a.roster, s.Flow, service, visited,
+			func(*Peer) bool { return false }, func(*Peer) float64 { return 0 })
+	}
+	if p == nil {
+		if !a.roster.Settled {
+			return Decision{Verdict: Drop, Reason: ReasonUnsettled}
+		}
+		return Decision{Verdict: SendReset, Reason: ReasonNoPeer}
+	}
+	next := Forward{Entry: h.Entry, Version: max(h.Version, a.table.Version), Service: ServiceTag(service), Visited: visited}
+	return Decision{Verdict: ToPeer, Reason: ReasonNotMine, Peer: p.Tunnel, Forward: next}
+}
+
+// FromHost decides about a packet that the upstream sent or returned. The flow of s is always the caller's view.
+func (a *Agent) FromHost(now int64, s Segment) Decision {
+	if s.Bounced {
+		return a.bounced(s)
+	}
+	f := a.flows[s.Flow]
+	if f == nil {
+		f = &agentFlow{}
+		a.flows[s.Flow] = f
+	}
+	f.seenMs = now
+	a.answered(f, s)
+	d := Decision{Verdict: ToCaller, Reason: ReasonAnswer}
+	if f.held && !f.closing && f.entry != (Endpoint{}) && f.told != f.entry {
+		f.told = f.entry
+		d.HintTo = f.entry
+		d.Hint = &Holds{Flow: s.Flow, Flows: uint16(min(a.open, 0xffff)), Busy: uint16(min(a.busy, 0xffff))}
+	}
+	return d
+}
+
+// answered updates a flow after a packet of the upstream.
+func (a *Agent) answered(f *agentFlow, s Segment) {
+	if !f.held && !s.Rst {
+		f.held = true
+		a.open++
+	}
+	if f.busy && s.Data > 0 {
+		f.busy = false
+		a.busy--
+	}
+	if (s.Fin || s.Rst) && !f.closing {
+		f.closing = true
+		if f.held {
+			a.open--
+		}
+	}
+}
+
+// bounced handles a packet that the upstream returned.
+func (a *Agent) bounced(s Segment) Decision {
+	h := Forward{}
+	if f := a.flows[s.Flow]; f != nil {
+		h = f.header
+		a.forget(s.Flow, f)
+	}
+	if s.Opens() {
+		return a.passOpening(s, h, ReasonNotMine)
+	}
+	visited := append(slices.Clone(h.Visited), a.Self)
+	var route *Route
+	if a.table != nil {
+		route = a.table.Routes[s.Flow.Front]
+	}
+	if p := a.choice.next(a.roster, s.Flow, route, visited); p != nil {
+		next := Forward{Entry: h.Entry, Version: h.Version, Visited: visited}
+		return Decision{Verdict: ToPeer, Reason: ReasonNotMine, Peer: p.Tunnel, Forward: next}
+	}
+	if a.roster.Settled && len(visited) <= MaxVisited && !s.Rst {
+		return Decision{Verdict: SendReset, Reason: ReasonExhausted}
+	}
+	return Decision{Verdict: Drop, Reason: ReasonExhausted}
+}
+
+func (a *Agent) forget(k Flow, f *agentFlow) {
+	if f.held && !f.closing {
+		a.open--
+	}
+	if f.busy {
+		a.busy--
+	}
+	delete(a.flows, k)
+}
+
+// Expire forgets flows that ended, were never answered or are idle. It is to be called about once a second.
+func (a *Agent) Expire(now int64) {
+	idle := int64(DefaultIdleMs)
+	if a.table != nil && a.table.IdleTimeout > 0 {
+		idle = a.table.IdleTimeout
+	}
+	for k, f := range a.flows {
+		limit := idle + forgetSlackMs
+		switch {
+		case f.closing:
+			limit = closedMs
+		case !f.held:
+			limit = tentativeMs
+		}
+		if now-f.seenMs > limit {
+			a.forget(k, f)
+		}
+	}
+}
+
+// Neighbours returns the tunnel addresses of all other agents.
+func (a *Agent) Neighbours() []Endpoint {
+	return slices.DeleteFunc(a.roster.tunnels(), func(e Endpoint) bool { return e == a.Self })
+}
--- /dev/null
+++ b/internal/passthrough/choose.go
@@ -0,0 +1,84 @@
+package passthrough
+
+import "slices"
+
+// candidates is how many of a flow's highest-ranked peers a new flow may be placed on. Four keep the balance within a few
+// per cent of the least loaded choice and let a packet of an unknown flow find its upstream in a few hops.
+const candidates = 4
+
+// freshMs is the age in milliseconds up to which a peer is taken for alive: five report intervals.
+const freshMs = 2000
+
+// Costs of a placement, in units of one open flow per slot.
+const (
+	busyCost   = 1.0 // a flow whose request is being worked on
+	remoteCost = 0.5 // an upstream in another failure domain
+	coldFactor = 2.0 // load of an upstream that has just started
+)
+
+// loadOf returns the placement cost of a peer with extra flows that its record does not show yet.
+func loadOf(p *Peer, extra float64, domain string) float64 {
+	slots := float64(max(p.Slots, 1))
+	load := (float64(p.Flows) + extra + busyCost*float64(p.Busy)) / slots
+	if p.Cold {
+		load *= coldFactor
+	}
+	if p.Domain != domain {
+		load += remoteCost
+	}
+	return load
+}
+
+// chooser picks upstreams for new flows.
+type chooser struct {
+	domain string
+	buf    []ranked
+}
+
+// choose returns the peer for a new flow of the service, or nil. Peers in tried are left out. avoid tells which peers
+// are not answering, and extra how many flows were placed on a peer since its record was made.
+func (c *chooser) choose(r *Roster, f Flow, service string, tried []Endpoint,
+	avoid func(*Peer) bool, extra func(*Peer) float64) *Peer {
+	usable := func(p *Peer) bool {
+		return p.Service == service && p.Active && !slices.Contains(tried, p.Tunnel)
+	}
+	c.buf = r.rank(f, c.buf, func(p *Peer) bool { return usable(p) && p.AgeMs < freshMs && !avoid(p) })
+	if len(c.buf) == 0 {
+		c.buf = r.rank(f, c.buf, usable)
+	}
+	var best *Peer
+	var lowest float64
+	for i, k := range c.buf {
+		if i == candidates {
+			break
+		}
+		load := loadOf(k.peer, extra(k.peer), c.domain)
+		if best == nil || load < lowest {
+			best, lowest = k.peer, load
+		}
+	}
+	return best
+}
+
+// next returns the peer to ask for an established flow after the visited ones, or nil. Peers of the route's services
+// come first: only a flow that was opened under an older declaration is elsewhere.
+func (c *chooser) next(r *Roster, f Flow, route *Route, visited []Endpoint) *Peer {
+	if len(visited) >= MaxVisited {
+		return nil
+	}
+	var best *Peer
+	var bestHash uint64
+	bestListed := false
+	for i := range r.Peers {
+		p := &r.Peers[i]
+		if slices.Contains(visited, p.Tunnel) {
+			continue
+		}
+		listed := route != nil && route.Allows(p.Service)
+		hash := rankHash(f, p.Tunnel)
+		if best == nil || listed && !bestListed || listed == bestListed && hash > bestHash {
+			best, bestHash, bestListed = p, hash, listed
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/passthrough/entry.go
@@ -0,0 +1,234 @@
+package passthrough
+
+import "slices"
+
+// Verdict says what is to be done with a packet.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Drop      Verdict = iota // nothing is sent
+	ToPeer                   // to the agent Decision.Peer with Decision.Forward
+	ToCaller                 // to the caller as it is
+	ToHost                   // to the upstream on this VM
+	SendReset                // a reset of the flow is sent to the caller
+)
+
+// Reason says why, for logs and counters.
+type Reason string
+
+// Reasons.
+const (
+	ReasonPlaced    Reason = "placed"
+	ReasonRetried   Reason = "placed_again"
+	ReasonKnown     Reason = "known"
+	ReasonSearch    Reason = "search"
+	ReasonNoRoute   Reason = "no_route"
+	ReasonNoTable   Reason = "no_declaration"
+	ReasonNoPeer    Reason = "no_upstream"
+	ReasonNotMine   Reason = "passed_on"
+	ReasonExhausted Reason = "held_nowhere"
+	ReasonUnsettled Reason = "roster_unsettled"
+	ReasonAnswer    Reason = "answer"
+	ReasonService   Reason = "wrong_service"
+)
+
+// Decision is the outcome for one packet.
+type Decision struct {
+	Verdict Verdict
+	Reason  Reason
+	Peer    Endpoint
+	Forward Forward
+	Hint    *Holds   // to be sent to HintTo
+	HintTo  Endpoint // entry that is told where the flow is
+}
+
+// Times of the machines in milliseconds.
+const (
+	// suspectMs is how long a peer that left a new flow unanswered gets no other: two reports of its heartbeat.
+	suspectMs = 1500
+	// forgetSlackMs is added to the idle timeout before a flow is forgotten, for retransmissions under way (up to 1.6 s
+	// apart) and late clocks.
+	forgetSlackMs = 5000
+	// DefaultIdleMs is the idle timeout without a declaration.
+	DefaultIdleMs = 15000
+)
+
+// maxEntryFlows bounds the flows that an entry remembers: 100,000 need about 10 MB.
+const maxEntryFlows = 100_000
+
+// entryFlow is what an entry remembers of a flow. It is a cache: the upstream alone knows the truth.
+type entryFlow struct {
+	peer   Endpoint
+	seenMs int64
+	held   bool // the agent told that its upstream answered
+	tries  uint8
+}
+
+// Entry places new flows and sends packets of established ones towards their upstreams. It is used by one goroutine.
+type Entry struct {
+	Self    Endpoint
+	table   *Table
+	roster  *Roster
+	choice  chooser
+	flows   map[Flow]entryFlow
+	tried   map[Flow][]Endpoint
+	suspect map[Endpoint]int64 // until when, ms
+	placed  map[Endpoint]float64
+}
+
+// NewEntry returns an entry in a failure domain.
+func NewEntry(self Endpoint, domain string) *Entry {
+	return &Entry{
+		Self: self, roster: NewRoster(nil, false), choice: chooser{domain: domain},
+		flows: map[Flow]entryFlow{}, tried: map[Flow][]Endpoint{},
+		suspect: map[Endpoint]int64{}, placed: map[Endpoint]float64{},
+	}
+}
+
+// SetTable puts a declaration in force.
+func (e *Entry) SetTable(t *Table) { e.table = t }
+
+// SetRoster replaces the roster. Its loads include what was placed before.
+func (e *Entry) SetRoster(r *Roster) {
+	e.roster = r
+	clear(e.placed)
+}
+
+// Flows returns the number of remembered flows.
+func (e *Entry) Flows() int { return len(e.flows) }
+
+// Packet decides about a packet of a caller.
+func (e *Entry) Packet(now int64, s Segment) Decision {
+	if e.table == nil {
+		return Decision{Verdict: Drop, Reason: ReasonNoTable}
+	}
+	route := e.table.Routes[s.Flow.Front]
+	if s.Opens() {
+		return e.open(now, s, route)
+	}
+	f, known := e.flows[s.Flow]
+	if known && e.roster.Find(f.peer) != nil {
+		f.seenMs = now
+		e.flows[s.Flow] = f
+		return e.forward(f.peer, ReasonKnown, "", nil)
+	}
+	if known && e.roster.Settled {
+		delete(e.flows, s.Flow)
+	}
+	if route == nil {
+		return Decision{Verdict: Drop, Reason: ReasonNoRoute}
+	}
+	p := e.choice.next(e.roster, s.Flow, route, nil)
+	if p == nil {
+		return Decision{Verdict: Drop, Reason: ReasonNoPeer}
+	}
+	return e.forward(p.Tunnel, ReasonSearch, "", nil)
+}
+
+func (e *Entry) forward(peer Endpoint, reason Reason, service string, visited []Endpoint) Decision {
+	h := Forward{Entry: e.Self, Version: e.table.Version, Visited: visited}
+	if service != "" {
+		h.Service = ServiceTag(service)
+	}
+	return Decision{Verdict: ToPeer, Reason: reason, Peer: peer, Forward: h}
+}
+
+// open places a new flow. A copy of the opening packet goes to the same upstream if that has answered, and otherwise to
+// another one: the flow opens only at the upstream whose answer the caller acknowledges.
+func (e *Entry) open(now int64, s Segment, route *Route) Decision {
+	if route == nil {
+		return Decision{Verdict: SendReset, Reason: ReasonNoRoute}
+	}
+	service := route.pick(s.Flow)
+	f, known := e.flows[s.Flow]
+	reason := ReasonPlaced
+	var tried []Endpoint
+	if known && f.tries > 0 {
+		if p := e.roster.Find(f.peer); f.held && p != nil && p.Service == service {
+			return e.forward(f.peer, ReasonKnown, service, nil)
+		}
+		reason = ReasonRetried
+		tried = append(e.tried[s.Flow], f.peer)
+		e.tried[s.Flow] = tried
+		if !f.held {
+			e.suspect[f.peer] = now + suspectMs
+		}
+	}
+	p := e.choice.choose(e.roster, s.Flow, service, tried,
+		func(p *Peer) bool { return e.suspect[p.Tunnel] > now },
+		func(p *Peer) float64 { return e.placed[p.Tunnel] })
+	if p == nil && len(tried) > 0 {
+		p = e.roster.Find(f.peer)
+	}
+	if p == nil {
+		if !e.roster.Settled {
+			return Decision{Verdict: Drop, Reason: ReasonUnsettled}
+		}
+		return Decision{Verdict: SendReset, Reason: ReasonNoPeer}
+	}
+	if !known {
+		e.makeRoom()
+	}
+	e.flows[s.Flow] = entryFlow{peer: p.Tunnel, seenMs: now, tries: f.tries + 1}
+	e.placed[p.Tunnel]++
+	return e.forward(p.Tunnel, reason, service, nil)
+}
+
+// makeRoom forgets some flow when there are too many; its next packet is searched for.
+func (e *Entry) makeRoom() {
+	if len(e.flows) < maxEntryFlows {
+		return
+	}
+	for f := range e.flows {
+		delete(e.flows, f)
+		delete(e.tried, f)
+		return
+	}
+}
+
+// Holds processes the word of an agent that its upstream holds a flow.
+func (e *Entry) Holds(now int64, from Endpoint, h Holds) {
+	f, known := e.flows[h.Flow]
+	if !known {
+		e.makeRoom()
+	}
+	e.flows[h.Flow] = entryFlow{peer: from, seenMs: now, held: true, tries: f.tries}
+	delete(e.tried, h.Flow)
+	delete(e.suspect, from)
+	if p := e.roster.Find(from); p != nil {
+		e.placed[from] = float64(h.Flows) - float64(p.Flows)
+	}
+}
+
+// Away processes the word of an agent that it will not answer for a while.
+func (e *Entry) Away(now int64, from Endpoint) { e.suspect[from] = now + suspectMs }
+
+// Expire forgets idle flows. It is to be called about once a second.
+func (e *Entry) Expire(now int64) {
+	idle := int64(DefaultIdleMs)
+	if e.table != nil && e.table.IdleTimeout > 0 {
+		idle = e.table.IdleTimeout
+	}
+	for k, f := range e.flows {
+		if now-f.seenMs > idle+forgetSlackMs {
+			delete(e.flows, k)
+			delete(e.tried, k)
+		}
+	}
+	for k, until := range e.suspect {
+		if until <= now {
+			delete(e.suspect, k)
+		}
+	}
+}
+
+// tunnels returns the tunnel addresses of all peers.
+func (r *Roster) tunnels() []Endpoint {
+	out := make([]Endpoint, 0, len(r.Peers))
+	for _, p := range r.Peers {
+		out = append(out, p.Tunnel)
+	}
+	slices.SortFunc(out, func(a, b Endpoint) int { return slices.Compare(a.IP[:], b.IP[:]) })
+	return out
+}
--- /dev/null
+++ b/internal/passthrough/header.go
@@ -0,0 +1,154 @@
+package passthrough
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/fnv"
+)
+
+// Datagrams between nodes start with a magic byte and a kind.
+const (
+	magic       = 0xB7
+	kindForward = 1 // a caller's packet follows the header
+	kindHolds   = 2 // the sender's upstream answered a packet of the flow
+	kindAway    = 3 // the sender is about to restart or leave
+)
+
+// MaxVisited bounds the agents that one packet visits. A full search of the largest service of today needs 42.
+const MaxVisited = 64
+
+// Forward is the header of a packet on its way to an upstream.
+type Forward struct {
+	Entry   Endpoint // tunnel address of the entry that received the packet
+	Version uint64   // declaration by which the entry chose the service
+	Service uint32   // ServiceTag of the chosen service; only for packets that open a flow
+	Visited []Endpoint
+}
+
+// ServiceTag returns the short form of a service name in headers.
+func ServiceTag(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum32()
+}
+
+// Holds tells an entry which agent has the upstream of a flow, and the load there.
+type Holds struct {
+	Flow  Flow
+	Flows uint16
+	Busy  uint16
+}
+
+const (
+	forwardFixed = 2 + 6 + 8 + 4 + 1
+	endpointSize = 6
+	flowSize     = 12
+	holdsSize    = 2 + flowSize + 4
+)
+
+// ErrMalformed is returned for datagrams that no node sends.
+var ErrMalformed = errors.New("malformed datagram between nodes")
+
+func putEndpoint(b []byte, e Endpoint) {
+	copy(b, e.IP[:])
+	binary.BigEndian.PutUint16(b[4:], e.Port)
+}
+
+func getEndpoint(b []byte) Endpoint {
+	return Endpoint{IP: [4]byte(b[:4]), Port: binary.BigEndian.Uint16(b[4:])}
+}
+
+func putFlow(b []byte, f Flow) {
+	putEndpoint(b, f.Caller)
+	putEndpoint(b[endpointSize:], f.Front)
+}
+
+func getFlow(b []byte) Flow {
+	return Flow{Caller: getEndpoint(b), Front: getEndpoint(b[endpointSize:])}
+}
+
+// AppendForward appends the header and the packet to buf.
+func AppendForward(buf []byte, h Forward, packet []byte) []byte {
+	var fixed [forwardFixed]byte
+	fixed[0], fixed[1] = magic, kindForward
+	putEndpoint(fixed[2:], h.Entry)
+	binary.BigEndian.PutUint64(fixed[8:], h.Version)
+	binary.BigEndian.PutUint32(fixed[16:], h.Service)
+	fixed[20] = byte(len(h.Visited))
+	buf = append(buf, fixed[:]...)
+	for _, v := range h.Visited {
+		var e [endpointSize]byte
+		putEndpoint(e[:], v)
+		buf = append(buf, e[:]...)
+	}
+	return append(buf, packet...)
+}
+
+// AppendHolds appends the datagram to buf.
+func AppendHolds(buf []byte, h Holds) []byte {
+	var b [holdsSize]byte
+	b[0], b[1] = magic, kindHolds
+	putFlow(b[2:], h.Flow)
+	binary.BigEndian.PutUint16(b[14:], h.Flows)
+	binary.BigEndian.PutUint16(b[16:], h.Busy)
+	return append(buf, b[:]...)
+}
+
+// AppendAway appends the datagram to buf.
+func AppendAway(buf []byte) []byte { return append(buf, magic, kindAway) }
+
+// Datagram is a decoded datagram between nodes. Exactly one of the pointers is set, or Away.
+type Datagram struct {
+	Forward *Forward
+	Holds   *Holds
+	Away    bool
+	Packet  []byte // of a Forward; refers to the input
+}
+
+// IsInternal reports whether the datagram is one between nodes. Packets of callers never start with the magic byte,
+// because they carry zeros there.
+func IsInternal(b []byte) bool { return len(b) >= 2 && b[0] == magic }
+
+// Decode decodes a datagram between nodes.
+func Decode(b []byte) (Datagram, error) {
+	if !IsInternal(b) {
+		return Datagram{}, ErrMalformed
+	}
+	switch b[1] {
+	case kindForward:
+		return decodeForward(b)
+	case kindHolds:
+		if len(b) != holdsSize {
+			return Datagram{}, ErrMalformed
+		}
+		return Datagram{Holds: &Holds{
+			Flow:  getFlow(b[2:]),
+			Flows: binary.BigEndian.Uint16(b[14:]),
+			Busy:  binary.BigEndian.Uint16(b[16:]),
+		}}, nil
+	case kindAway:
+		return Datagram{Away: true}, nil
+	}
+	return Datagram{}, ErrMalformed
+}
+
+func decodeForward(b []byte) (Datagram, error) {
+	if len(b) < forwardFixed {
+		return Datagram{}, ErrMalformed
+	}
+	n := int(b[20])
+	if n > MaxVisited || len(b) < forwardFixed+n*endpointSize {
+		return Datagram{}, ErrMalformed
+	}
+	h := &Forward{
+		Entry:   getEndpoint(b[2:]),
+		Version: binary.BigEndian.Uint64(b[8:]),
+		Service: binary.BigEndian.Uint32(b[16:]),
+	}
+	rest := b[forwardFixed:]
+	for range n {
+		h.Visited = append(h.Visited, getEndpoint(rest))
+		rest = rest[endpointSize:]
+	}
+	return Datagram{Forward: h, Packet: rest}, nil
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -92,6 +92,9 @@
 	PlanUnknownService   Code = 5105
 	PlanUnknownHost      Code = 5106
 	PlanAddressInUse     Code = 5107
+	DeclarationInvalid   Code = 5110
+	DeclarationUnsettled Code = 5111
+	AnnounceMalformed    Code = 5204
 	AnnounceNotPermitted Code = 5201
 	AnnounceStale        Code = 5202
 	AnnounceAddressTaken Code = 5203
--- /dev/null
+++ b/internal/roster/exchange.go
@@ -0,0 +1,73 @@
+package roster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log"
+
+	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
+)
+
+// Exchanger exchanges records with the other control VMs, one after the other.
+type Exchanger struct {
+	Store  *Store
+	Self   func() Record
+	Peers  func() []netip.AddrPort // RPC addresses of the other control VMs
+	Logger log.Logger
+
+	clients map[netip.AddrPort]pb.Roster
+	failing map[netip.AddrPort]bool
+}
+
+// exchangePeriod is the time in which each other control VM is asked once.
+const exchangePeriod = 400 * time.Millisecond
+
+// Run exchanges until ctx is done.
+func (e *Exchanger) Run(ctx context.Context) {
+	e.clients = map[netip.AddrPort]pb.Roster{}
+	e.failing = map[netip.AddrPort]bool{}
+	ticker := time.NewTicker(exchangePeriod)
+	defer ticker.Stop()
+	for {
+		e.Store.Put(time.Now(), e.Self())
+		for _, peer := range e.Peers() {
+			go e.exchange(ctx, peer, e.client(peer))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (e *Exchanger) client(peer netip.AddrPort) pb.Roster {
+	c, ok := e.clients[peer]
+	if !ok {
+		transport := &http.Transport{
+			DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext, MaxConnsPerHost: 1, IdleConnTimeout: idleConnection,
+		}
+		c = pb.NewRosterProtobufClient("http://"+peer.String(), &http.Client{Transport: transport})
+		e.clients[peer] = c
+	}
+	return c
+}
+
+// exchange makes one call. A failure needs no retry: the next round repeats it.
+func (e *Exchanger) exchange(ctx context.Context, peer netip.AddrPort, client pb.Roster) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	now := time.Now()
+	response, err := client.Exchange(ctx, &pb.ExchangeRequest{Records: wireRecords(e.Store.List(now))})
+	if err != nil {
+		return
+	}
+	now = time.Now()
+	for _, m := range response.GetRecords() {
+		e.Store.Put(now, FromWire(m))
+	}
+}
--- /dev/null
+++ b/internal/roster/record.go
@@ -0,0 +1,104 @@
+// Package roster keeps the soft state of the VMs that forward whole packets: which processes live, what their upstreams
+// take and how loaded they are. Nothing of it is replicated through a log. Each process reports itself to one control VM,
+// control VMs exchange what they heard, and the report that was heard last holds.
+package roster
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/plantainseam/plantainseam/internal/passthrough"
+	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
+)
+
+// Kind is the role of a process.
+type Kind uint8
+
+// Kinds of processes.
+const (
+	KindEntry   Kind = 1
+	KindAgent   Kind = 2
+	KindControl Kind = 3
+)
+
+// State is the state of an agent's upstream.
+type State uint8
+
+// States of an upstream.
+const (
+	StateNone     State = 0 // no upstream is known
+	StateActive   State = 1
+	StateDraining State = 2
+)
+
+// Record describes one process. It is identified by Kind and Address.
+type Record struct {
+	Kind          Kind
+	Address       netip.Addr // of the VM
+	TunnelPort    uint16
+	FailureDomain string
+	Service       string
+	State         State
+	Slots         uint32
+	Flows         uint32 // open flows
+	Busy          uint32 // flows whose last request is not answered
+	Warmup        time.Duration
+	Version       uint64 // declaration in force
+	Leaving       bool
+	Incarnation   uint64        // drawn at random at each start
+	Age           time.Duration // since the process was heard by a control VM
+}
+
+func addressBits(a netip.Addr) uint32 {
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
+func addressOf(v uint32) netip.Addr {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], v)
+	return netip.AddrFrom4(b)
+}
+
+// milliseconds returns d for a message, at most the range of the field.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), 1<<32-1))
+}
+
+// ToWire returns the message of a record.
+func ToWire(r Record) *pb.Record {
+	return &pb.Record{
+		Kind: uint32(r.Kind), Address: addressBits(r.Address), TunnelPort: uint32(r.TunnelPort),
+		FailureDomain: r.FailureDomain, Service: r.Service, State: uint32(r.State), Slots: r.Slots,
+		Flows: r.Flows, Busy: r.Busy, WarmupMs: milliseconds(r.Warmup), AgeMs: milliseconds(r.Age),
+		Version: r.Version, Leaving: r.Leaving, Incarnation: r.Incarnation,
+	}
+}
+
+// FromWire returns the record of a message.
+func FromWire(m *pb.Record) Record {
+	return Record{
+		Kind: Kind(m.GetKind()), Address: addressOf(m.GetAddress()), TunnelPort: uint16(m.GetTunnelPort()),
+		FailureDomain: m.GetFailureDomain(), Service: m.GetService(), State: State(m.GetState()), Slots: m.GetSlots(),
+		Flows: m.GetFlows(), Busy: m.GetBusy(), Warmup: time.Duration(m.GetWarmupMs()) * time.Millisecond,
+		Age: time.Duration(m.GetAgeMs()) * time.Millisecond, Version: m.GetVersion(), Leaving: m.GetLeaving(),
+		Incarnation: m.GetIncarnation(),
+	}
+}
+
+// Peers returns the agents among the records as the forwarding machines use them.
+func Peers(records []Record) []passthrough.Peer {
+	var out []passthrough.Peer
+	for _, r := range records {
+		if r.Kind != KindAgent || r.Leaving && r.State == StateNone {
+			continue
+		}
+		out = append(out, passthrough.Peer{
+			Tunnel: passthrough.Endpoint{IP: r.Address.As4(), Port: r.TunnelPort},
+			Domain: r.FailureDomain, Service: r.Service, Active: r.State == StateActive && !r.Leaving,
+			Slots: r.Slots, Flows: r.Flows, Busy: r.Busy, Cold: r.Warmup > 0, AgeMs: r.Age.Milliseconds(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/roster/server.go
@@ -0,0 +1,67 @@
+package roster
+
+import (
+	"context"
+	"time"
+
+	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
+)
+
+// Declarations gives the declaration that this control VM has applied.
+type Declarations interface {
+	// Held returns the newest applied version and its content; version 0 for none.
+	Held() (version uint64, declaration []byte)
+	// Current reports whether this control VM hears the leader of its group.
+	Current() bool
+}
+
+// Server implements the Roster service of a control VM.
+type Server struct {
+	store        *Store
+	declarations Declarations
+	now          func() time.Time
+}
+
+// NewServer returns a server of the store.
+func NewServer(store *Store, d Declarations, now func() time.Time) *Server {
+	return &Server{store: store, declarations: d, now: now}
+}
+
+// Sync implements the twirp service.
+func (s *Server) Sync(_ context.Context, request *pb.SyncRequest) (*pb.SyncResponse, error) {
+	now := s.now()
+	if request.GetSelf() != nil {
+		self := FromWire(request.GetSelf())
+		self.Age = 0
+		s.store.Put(now, self)
+	}
+	response := &pb.SyncResponse{Current: s.declarations.Current(), Settled: s.store.Settled(now)}
+	version, content := s.declarations.Held()
+	response.Declared = version
+	if version > request.GetDeclared() {
+		response.Declaration = content
+	}
+	for _, r := range s.store.List(now) {
+		if r.Kind != KindEntry {
+			response.Records = append(response.Records, ToWire(r))
+		}
+	}
+	return response, nil
+}
+
+// Exchange implements the twirp service.
+func (s *Server) Exchange(_ context.Context, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	now := s.now()
+	for _, m := range request.GetRecords() {
+		s.store.Put(now, FromWire(m))
+	}
+	return &pb.ExchangeResponse{Records: wireRecords(s.store.List(now))}, nil
+}
+
+func wireRecords(records []Record) []*pb.Record {
+	out := make([]*pb.Record, 0, len(records))
+	for _, r := range records {
+		out = append(out, ToWire(r))
+	}
+	return out
+}
