--- /dev/null
+++ b/internal/passthrough/header_test.go
@@ -0,0 +1,42 @@
+package passthrough
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// Nodes of one version must read what they write.
+func TestHeaderRoundTrip(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := Forward{Entry: tunnel(200), Version: 1 << 40, Service: ServiceTag("s"), Visited: []Endpoint{tunnel(1), tunnel(2)}}
+	d, err := Decode(AppendForward(nil, h, []byte("packet")))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(*d.Forward).To(gomega.Equal(h))
+	g.Expect(d.Packet).To(gomega.Equal([]byte("packet")))
+	holds := Holds{Flow: caller(7), Flows: 3, Busy: 2}
+	d, err = Decode(AppendHolds(nil, holds))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(*d.Holds).To(gomega.Equal(holds))
+	d, err = Decode(AppendAway(nil))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(d.Away).To(gomega.BeTrue())
+}
+
+// Anything may arrive on the tunnel port. It must neither crash a process nor be taken for more than it is.
+func FuzzDecode(f *testing.F) {
+	f.Add(AppendForward(nil, Forward{Entry: tunnel(1), Visited: []Endpoint{tunnel(2)}}, []byte("x")))
+	f.Add(AppendHolds(nil, Holds{Flow: caller(1)}))
+	f.Add([]byte{magic, kindForward, 0, 0})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if d.Forward != nil && !bytes.Equal(AppendForward(nil, *d.Forward, d.Packet), b) {
+			t.Fatalf("%x is read as %+v", b, d.Forward)
+		}
+	})
+}
--- /dev/null
+++ b/internal/passthrough/net_test.go
@@ -0,0 +1,172 @@
+package passthrough
+
+import (
+	"fmt"
+	"testing"
+)
+
+// network is entries, agents and upstream processes in memory. Upstreams keep the contract of the platform: they answer a
+// packet that opens a flow, return what they do not hold, and accept a packet that opens a flow even while draining.
+type network struct {
+	now     int64
+	entries []*Entry
+	agents  map[Endpoint]*Agent
+	hosts   map[Endpoint]*host
+	down    map[Endpoint]bool // agents that do not run
+	table   *Table
+	order   []Endpoint
+	settled bool
+	resets  []Flow
+	visits  int // deliveries to hosts for the last packet
+}
+
+type host struct {
+	service  string
+	full     bool
+	draining bool
+	flows    map[Flow]bool
+	opened   int
+}
+
+var front = Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+
+func caller(i int) Flow {
+	return Flow{Caller: Endpoint{IP: [4]byte{100, 64, byte(i >> 8), byte(i)}, Port: uint16(40000 + i%1000)}, Front: front}
+}
+
+func tunnel(i int) Endpoint { return Endpoint{IP: [4]byte{10, 1, 0, byte(i)}, Port: 8172} }
+
+// newNetwork returns a network of entries and of agents with active upstreams of service "s".
+func newNetwork(entries, agents int) *network {
+	n := &network{agents: map[Endpoint]*Agent{}, hosts: map[Endpoint]*host{}, down: map[Endpoint]bool{}, settled: true}
+	n.table = &Table{Version: 1, Routes: map[Endpoint]*Route{front: NewRoute("r", []Target{{"s", 1}})}, IdleTimeout: 15000}
+	for i := range entries {
+		n.entries = append(n.entries, NewEntry(tunnel(200+i), "d"))
+	}
+	for i := range agents {
+		n.addAgent(tunnel(i+1), "s")
+	}
+	n.publish()
+	return n
+}
+
+func (n *network) addAgent(at Endpoint, service string) {
+	n.hosts[at] = &host{service: service, flows: map[Flow]bool{}}
+	n.order = append(n.order, at)
+	n.startAgent(at)
+}
+
+// startAgent starts the process beside a host anew. It has heard its upstream once.
+func (n *network) startAgent(at Endpoint) {
+	h := n.hosts[at]
+	n.agents[at] = NewAgent(at, "d")
+	n.agents[at].SetTable(n.table)
+	n.agents[at].SetUpstream(Upstream{Service: h.service, Active: !h.draining, Slots: 3}, false)
+	delete(n.down, at)
+}
+
+// publish gives every node the roster and the table.
+func (n *network) publish() {
+	var peers []Peer
+	for _, at := range n.order {
+		h := n.hosts[at]
+		flows, busy := n.agents[at].Load()
+		peers = append(peers, Peer{Tunnel: at, Domain: "d", Service: h.service, Active: !h.draining, Slots: 3,
+			Flows: uint32(flows), Busy: uint32(busy)})
+	}
+	for _, e := range n.entries {
+		e.SetTable(n.table)
+		e.SetRoster(NewRoster(peers, n.settled))
+	}
+	for _, a := range n.agents {
+		a.SetTable(n.table)
+		a.SetRoster(NewRoster(peers, n.settled))
+	}
+}
+
+// remove takes an agent and its host away for good.
+func (n *network) remove(at Endpoint) {
+	for i, o := range n.order {
+		if o == at {
+			n.order = append(n.order[:i:i], n.order[i+1:]...)
+		}
+	}
+	delete(n.agents, at)
+	delete(n.hosts, at)
+}
+
+// send gives a caller's packet to an entry and returns the host that took it, if any.
+func (n *network) send(entry int, s Segment) (Endpoint, bool) {
+	n.visits = 0
+	d := n.entries[entry].Packet(n.now, s)
+	for d.Verdict == ToPeer {
+		at, h := d.Peer, d.Forward
+		a := n.agents[at]
+		if a == nil || n.down[at] {
+			return Endpoint{}, false
+		}
+		d = a.FromPeer(n.now, s, h)
+		if d.Verdict != ToHost {
+			continue
+		}
+		n.visits++
+		if n.deliver(a, n.hosts[at], s) {
+			return at, true
+		}
+		returned := s
+		returned.Bounced = true
+		d = a.FromHost(n.now, returned)
+	}
+	if d.Verdict == SendReset {
+		n.resets = append(n.resets, s.Flow)
+	}
+	return Endpoint{}, false
+}
+
+// deliver gives a packet to a host and reports whether the host holds the flow now. The host answers at once.
+func (n *network) deliver(a *Agent, h *host, s Segment) bool {
+	if s.Opens() && !h.flows[s.Flow] {
+		if h.full {
+			return false
+		}
+		h.flows[s.Flow] = true
+		h.opened++
+	}
+	if !h.flows[s.Flow] {
+		return false
+	}
+	d := a.FromHost(n.now, Segment{Flow: s.Flow, Ack: true, Syn: s.Syn, Data: s.Data})
+	if d.Hint != nil {
+		for _, e := range n.entries {
+			if e.Self == d.HintTo {
+				e.Holds(n.now, a.Self, *d.Hint)
+			}
+		}
+	}
+	return true
+}
+
+func open(i int) Segment { return Segment{Flow: caller(i), Syn: true} }
+
+func data(i int) Segment { return Segment{Flow: caller(i), Ack: true, Data: 100, AckNo: 77} }
+
+// mustHold opens flow i through an entry and returns its host.
+func (n *network) mustHold(t testing.TB, entry, i int) Endpoint {
+	t.Helper()
+	at, ok := n.send(entry, open(i))
+	if !ok {
+		t.Fatalf("flow %d did not open", i)
+	}
+	return at
+}
+
+// reaches checks that a packet of flow i through an entry reaches the host.
+func (n *network) reaches(t testing.TB, entry, i int, want Endpoint) {
+	t.Helper()
+	at, ok := n.send(entry, data(i))
+	if !ok || at != want {
+		t.Fatalf("packet of flow %d reached %v (%t), want %v", i, at, ok, want)
+	}
+}
+
+func (n *network) String() string { return fmt.Sprintf("%d agents, resets %v", len(n.order), n.resets) }
--- /dev/null
+++ b/internal/passthrough/passthrough_test.go
@@ -0,0 +1,290 @@
+package passthrough
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// An established flow must survive every planned change: its packets reach the same host whatever entry takes them.
+func TestEstablishedFlowsReachTheirHost(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(n *network, holder Endpoint)
+	}{
+		{"nothing changes", func(*network, Endpoint) {}},
+		{"entries restart", func(n *network, _ Endpoint) {
+			n.entries[0], n.entries[1] = NewEntry(tunnel(200), "d"), NewEntry(tunnel(201), "d")
+			n.publish()
+		}},
+		{"the holder's agent restarts", func(n *network, at Endpoint) { n.startAgent(at); n.publish() }},
+		{"every agent restarts", func(n *network, _ Endpoint) {
+			for _, at := range n.order {
+				n.startAgent(at)
+			}
+			n.publish()
+		}},
+		{"every process restarts and control is new", func(n *network, _ Endpoint) {
+			n.settled = false
+			n.entries[0], n.entries[1] = NewEntry(tunnel(200), "d"), NewEntry(tunnel(201), "d")
+			for _, at := range n.order {
+				n.startAgent(at)
+			}
+			n.publish()
+		}},
+		{"the holder drains", func(n *network, at Endpoint) {
+			n.hosts[at].draining = true
+			n.agents[at].SetUpstream(Upstream{Service: "s", Slots: 3}, false)
+			n.publish()
+		}},
+		{"agents are added", func(n *network, _ Endpoint) {
+			for i := 50; i < 60; i++ {
+				n.addAgent(tunnel(i), "s")
+			}
+			n.publish()
+		}},
+		{"all other agents leave", func(n *network, at Endpoint) {
+			for _, o := range slices.Clone(n.order) {
+				if o != at {
+					n.remove(o)
+				}
+			}
+			n.publish()
+		}},
+		{"the route moves to another service", func(n *network, _ Endpoint) {
+			n.addAgent(tunnel(70), "other")
+			n.table = &Table{Version: 2, Routes: map[Endpoint]*Route{front: NewRoute("r", []Target{{"other", 1}})}}
+			n.publish()
+		}},
+		{"only one of the entries has the new table", func(n *network, _ Endpoint) {
+			n.entries[1].SetTable(&Table{Version: 2, Routes: map[Endpoint]*Route{front: NewRoute("r", []Target{{"other", 1}})}})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newNetwork(2, 7)
+			holders := map[int]Endpoint{}
+			for i := range 60 {
+				holders[i] = n.mustHold(t, 0, i)
+			}
+			c.change(n, holders[0])
+			for i := range 60 {
+				if n.agents[holders[i]] == nil {
+					continue // its host left
+				}
+				n.reaches(t, 1, i, holders[i])
+				n.reaches(t, 0, i, holders[i])
+			}
+			g.Expect(n.resets).To(gomega.BeEmpty())
+		})
+	}
+}
+
+// A search must become a direct path as soon as the host answers, or every packet after a change of the fabric's hash
+// would visit several hosts.
+func TestSearchBecomesDirect(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(2, 7)
+	at := n.mustHold(t, 0, 1)
+	n.entries[1] = NewEntry(tunnel(201), "d")
+	n.publish()
+	n.reaches(t, 1, 1, at)
+	n.reaches(t, 1, 1, at)
+	g.Expect(n.visits).To(gomega.Equal(1))
+}
+
+// New flows must not go to an upstream that leaves, is unknown, is full or belongs to another service.
+func TestNewFlowsAvoid(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(n *network, at Endpoint)
+	}{
+		{"a draining upstream that only its agent knows of", func(n *network, at Endpoint) {
+			n.agents[at].SetUpstream(Upstream{Service: "s", Slots: 3}, false)
+		}},
+		{"an upstream that its agent has not heard since its start", func(n *network, at Endpoint) {
+			n.agents[at] = NewAgent(at, "d")
+			n.agents[at].SetTable(n.table)
+			n.agents[at].SetRoster(n.entries[0].roster)
+		}},
+		{"a full upstream", func(n *network, at Endpoint) { n.hosts[at].full = true }},
+		{"an address that another service uses again", func(n *network, at Endpoint) {
+			n.hosts[at].service = "other"
+			n.agents[at].SetUpstream(Upstream{Service: "other", Active: true, Slots: 3}, true)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNetwork(1, 5)
+			bad := tunnel(2)
+			c.spoil(n, bad)
+			for i := range 100 {
+				if at := n.mustHold(t, 0, i); at == bad {
+					t.Fatalf("flow %d was placed on %v", i, at)
+				}
+			}
+		})
+	}
+}
+
+// The caller's copy of an opening packet must try another upstream when the first one is silent.
+func TestOpeningIsTriedElsewhere(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 5)
+	for i := range 40 {
+		first := n.entries[0].Packet(n.now, open(i))
+		n.down[first.Peer] = true
+		at, ok := n.send(0, open(i))
+		g.Expect(ok).To(gomega.BeTrue())
+		g.Expect(at).NotTo(gomega.Equal(first.Peer))
+		n.down = map[Endpoint]bool{}
+	}
+}
+
+// A copy of an opening packet must not open a second flow while the first upstream answers.
+func TestCopyOfOpeningGoesToTheSameUpstream(t *testing.T) {
+	n := newNetwork(1, 5)
+	for i := range 40 {
+		at := n.mustHold(t, 0, i)
+		if again := n.mustHold(t, 0, i); again != at {
+			t.Fatalf("flow %d opened at %v and %v", i, at, again)
+		}
+	}
+}
+
+// A reset tells the caller that the flow is gone. It must be sent when every live upstream has returned the packet, and
+// never on the word of a roster that may lack an agent.
+func TestResetOnlyWhenHeldNowhere(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		settled bool
+		down    bool
+		resets  int
+	}{
+		{"every upstream returned it", true, false, 1},
+		{"the roster may lack agents", false, false, 0},
+		{"an agent does not answer", true, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newNetwork(1, 5)
+			n.settled = c.settled
+			n.publish()
+			if c.down {
+				n.down[tunnel(3)] = true
+			}
+			_, ok := n.send(0, data(9))
+			g.Expect(ok).To(gomega.BeFalse())
+			g.Expect(n.resets).To(gomega.HaveLen(c.resets))
+		})
+	}
+}
+
+// An opening packet that no upstream takes must be refused at once, so that the caller asks again.
+func TestOpeningIsRefusedAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 3)
+	for _, h := range n.hosts {
+		h.full = true
+	}
+	_, ok := n.send(0, open(1))
+	g.Expect(ok).To(gomega.BeFalse())
+	g.Expect(n.resets).To(gomega.HaveLen(1))
+}
+
+// An address without a route answers new flows with a reset and does not touch others: they may belong to a declaration
+// that this entry has not heard of.
+func TestNoRoute(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 3)
+	s := open(1)
+	s.Flow.Front.Port = 9
+	g.Expect(n.entries[0].Packet(0, s).Verdict).To(gomega.Equal(SendReset))
+	s.Syn, s.Ack = false, true
+	g.Expect(n.entries[0].Packet(0, s).Verdict).To(gomega.Equal(Drop))
+}
+
+// An agent that has not heard of the newest declaration must accept by the entry's word, and one that has a newer one by
+// its own; otherwise a new route is refused, or an old one obeyed, after it is in force.
+func TestNewerDeclarationDecides(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 1)
+	a := n.agents[tunnel(1)]
+	fresh := Segment{Flow: Flow{Caller: caller(1).Caller, Front: Endpoint{IP: front.IP, Port: 8443}}, Syn: true}
+	newer := Forward{Version: 2, Service: ServiceTag("s")}
+	g.Expect(a.FromPeer(0, fresh, newer).Verdict).To(gomega.Equal(ToHost))
+	a.SetTable(&Table{Version: 3, Routes: map[Endpoint]*Route{front: NewRoute("r", []Target{{"other", 1}})}})
+	older := Forward{Version: 1, Service: ServiceTag("s")}
+	g.Expect(a.FromPeer(0, open(2), older).Verdict).NotTo(gomega.Equal(ToHost))
+}
+
+// Load must be spread evenly at steady state: the brief's target is a peak of 1.10 of the mean.
+func TestBalance(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(5, 7)
+	const flows = 420
+	for i := range flows {
+		n.mustHold(t, i%5, i)
+		if i%10 == 0 {
+			n.publish()
+		}
+	}
+	most := 0
+	for _, h := range n.hosts {
+		most = max(most, h.opened)
+	}
+	g.Expect(float64(most) / (flows / 7.0)).To(gomega.BeNumerically("<=", 1.10))
+}
+
+// Weights must decide the share of new flows, and every entry must pick the same service for a flow.
+func TestSplitByWeight(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := NewRoute("r", []Target{{"a", 90}, {"b", 10}, {"c", 0}})
+	count := map[string]int{}
+	for i := range 5000 {
+		count[r.pick(caller(i))]++
+	}
+	g.Expect(count["a"]).To(gomega.BeNumerically("~", 4500, 150))
+	g.Expect(count["c"]).To(gomega.BeZero())
+	g.Expect(r.Allows("c")).To(gomega.BeFalse())
+	g.Expect(NewRoute("r", []Target{{"a", 0}, {"b", 0}}).pick(caller(1))).To(gomega.BeEmpty())
+}
+
+// What an agent counts as load must return to zero when flows end, or an idle upstream would look loaded for ever.
+func TestLoadReturnsToZero(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 1)
+	a := n.agents[tunnel(1)]
+	n.mustHold(t, 0, 1)
+	a.FromPeer(0, data(1), Forward{Entry: tunnel(200)})
+	flows, busy := a.Load()
+	g.Expect([]int{flows, busy}).To(gomega.Equal([]int{1, 1}))
+	a.FromHost(0, Segment{Flow: caller(1), Ack: true, Data: 10})
+	a.FromHost(0, Segment{Flow: caller(1), Fin: true})
+	n.mustHold(t, 0, 2)
+	a.FromPeer(0, data(2), Forward{Entry: tunnel(200)})
+	a.Expire(closedMs + 1)
+	a.Expire(DefaultIdleMs + forgetSlackMs + 1)
+	flows, busy = a.Load()
+	g.Expect([]int{flows, busy}).To(gomega.Equal([]int{0, 0}))
+	g.Expect(a.flows).To(gomega.BeEmpty())
+}
+
+// Memory must stay bounded: idle flows are forgotten, and a flood of new ones evicts others.
+func TestEntryForgets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 3)
+	for i := range 100 {
+		n.mustHold(t, 0, i)
+	}
+	e := n.entries[0]
+	e.Expire(DefaultIdleMs + forgetSlackMs + 1)
+	g.Expect(e.Flows()).To(gomega.BeZero())
+	for i := range maxEntryFlows + 10 {
+		f := Flow{Caller: Endpoint{IP: [4]byte{1, byte(i >> 16), byte(i >> 8), byte(i)}}, Front: front}
+		e.Holds(0, tunnel(1), Holds{Flow: f})
+	}
+	g.Expect(e.Flows()).To(gomega.Equal(maxEntryFlows))
+}
