Serve sooner after a common start: early pre-votes, quiet and settled rosters

Ruled out: slow disks and starts (a process is up 4 ms after its start line). Change: first election attempt after 2 to 4 heartbeats, and a member that encourages another puts off its own; entries place no flow until no new agent has reported for 250 ms; processes pass on what they know to a control VM that has just started, which then counts as complete after 1.2 s; a learner is promoted before the next removal. Tests: TestElectionAfterCommonStart and TestOpeningWaitsForAgents fail without the change.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -121,7 +121,7 @@
 		hardSent: state.Hard,
 	}
 	c.hard.Term = max(c.hard.Term, state.Snapshot.Term)
-	c.resetElection()
+	c.firstElection()
 	return c, nil
 }
 
@@ -278,6 +278,17 @@
 	c.reads = nil
 }
 
+// firstElection sets the first attempt after a start. It is early, because a member that starts knows of no leader, and
+// it does no harm where there is one: members that hear a leader refuse pre-votes.
+func (c *Core) firstElection() {
+	c.electionAt = c.now.Add(2*c.cfg.Heartbeat + c.jitter())
+}
+
+// jitter returns a random time of at most two heartbeats. It keeps members that start together apart.
+func (c *Core) jitter() time.Duration {
+	return time.Duration(c.random.Int64N(2 * int64(c.cfg.Heartbeat)))
+}
+
 func (c *Core) resetElection() {
 	spread := time.Duration(c.random.Int64N(int64(c.cfg.Election)))
 	c.electionAt = c.now.Add(c.cfg.Election + spread)
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -71,6 +71,23 @@
 		return
 	}
 	c.send(Message{Kind: MsgPreVoteResponse, To: m.From, Term: m.Term})
+	c.letElect(m.From)
+}
+
+// letElect puts off this member's own attempt while another one, which it has encouraged, is under way. Of two members
+// that encourage each other, the one with the lower identity goes on; otherwise both would split the votes, and the next
+// attempt comes a whole election timeout later.
+func (c *Core) letElect(other MemberID) {
+	if c.role == Candidate || c.role == PreCandidate && c.cfg.ID < other {
+		return
+	}
+	if c.role == PreCandidate {
+		c.role = Follower
+		c.votes = nil
+	}
+	if later := c.now.Add(2*c.cfg.Heartbeat + c.jitter()); later.After(c.electionAt) {
+		c.electionAt = later
+	}
 }
 
 func (c *Core) countPreVote(m Message) {
--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -249,3 +250,30 @@
 		}
 	}
 }
+
+// Members that start together after a loss of power must elect a leader well within an election timeout, or every
+// restart of the group costs callers that time.
+func TestElectionAfterCommonStart(t *testing.T) {
+	slow := 0
+	const rounds = 60
+	for round := range rounds {
+		g := newGroup(3 + 2*(round%2))
+		for _, id := range g.order {
+			g.crash(id, 0)
+		}
+		g.now = g.now.Add(time.Duration(round) * time.Millisecond)
+		for _, id := range g.order {
+			g.peers[id].starts += uint64(round)
+			g.start(id)
+			g.peers[id].core.random = rand.New(rand.NewPCG(uint64(round), uint64(len(id))*uint64(id[1])))
+			g.peers[id].core.firstElection()
+		}
+		g.run(testConfig.Election + 2*testConfig.Heartbeat)
+		if g.leader() == "" {
+			slow++
+		}
+	}
+	if slow > rounds/20 {
+		t.Fatalf("%d of %d groups had no leader within an election timeout", slow, rounds)
+	}
+}
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -81,7 +81,9 @@
 	}
 	if v.Settled || !a.settled {
 		a.settled = v.Settled
-		a.machine.SetRoster(passthrough.NewRoster(roster.Peers(v.Records), v.Settled))
+		peers := roster.Peers(v.Records)
+		a.noteRoster(peers, v)
+		a.machine.SetRoster(newRoster(peers, v))
 	}
 }
 
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -60,6 +60,28 @@
 	table   *passthrough.Table
 	settled bool
 	leaving bool
+	seen    rosterSummary
+}
+
+// rosterSummary is what is logged of a roster when it changes.
+type rosterSummary struct {
+	agents, active int
+	settled        bool
+}
+
+// noteRoster logs a roster whose summary differs from the last one. The caller holds mu.
+func (l *link) noteRoster(peers []passthrough.Peer, v roster.View) {
+	now := rosterSummary{agents: len(peers), settled: v.Settled}
+	for _, p := range peers {
+		if p.Active {
+			now.active++
+		}
+	}
+	if now != l.seen {
+		l.seen = now
+		_ = l.cfg.Logger.Log("event", "roster_changed", "agents", now.agents, "active", now.active, "settled", now.settled,
+			"from", v.From)
+	}
 }
 
 func newLink(cfg Config) *link {
@@ -101,3 +123,9 @@
 
 // SetSeeds replaces the given control VMs after a reload.
 func (l *link) SetSeeds(seeds []netip.AddrPort) { l.client.SetSeeds(seeds) }
+
+func newRoster(peers []passthrough.Peer, v roster.View) *passthrough.Roster {
+	r := passthrough.NewRoster(peers, v.Settled)
+	r.Quiet = v.Settled || v.Quiet
+	return r
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -63,7 +63,9 @@
 	// A control VM that has just started does not know every agent. What this entry knows of the others stays.
 	if v.Settled || !e.settled {
 		e.settled = v.Settled
-		e.machine.SetRoster(passthrough.NewRoster(roster.Peers(v.Records), v.Settled))
+		peers := roster.Peers(v.Records)
+		e.noteRoster(peers, v)
+		e.machine.SetRoster(newRoster(peers, v))
 	}
 }
 
--- a/internal/group/maintain.go
+++ b/internal/group/maintain.go
@@ -102,13 +102,18 @@
 	}[k]
 }
 
-// nextChange decides about the membership. In this order: a member whose machine came back with another identity is
-// removed, a machine that asked is added, a silent voter is removed where another member can take its place or there
-// are more voters than needed, a learner becomes a voter, and a silent learner is removed.
+// nextChange decides about the membership. In this order: a learner becomes a voter where too few vote, a member whose
+// machine came back with another identity is removed, a machine that asked is added, a silent voter is removed where
+// another member can take its place or there are more voters than needed, a learner becomes a voter, and a silent learner
+// is removed.
 func (g *Group) nextChange(status consensus.Status, now time.Time) (*consensus.Change, string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.noteSilence(status, now)
+	ready := g.readyLearner(status)
+	if ready != "" && status.Membership.Voters() < g.wanted() {
+		return &consensus.Change{Kind: consensus.Promote, ID: ready}, "too few voters"
+	}
 	for id, m := range g.asked {
 		if _, ok := status.Membership.Find(id); ok {
 			delete(g.asked, id)
@@ -122,7 +127,6 @@
 		delete(g.asked, id)
 		return &consensus.Change{Kind: consensus.AddLearner, ID: id, Name: m.Name, Address: m.Address}, "asked to join"
 	}
-	ready := g.readyLearner(status)
 	for _, m := range status.Membership.Members {
 		since, silent := g.silent[m.ID]
 		if !silent || now.Sub(since) < g.cfg.Silence {
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -173,6 +173,9 @@
 	if route == nil {
 		return Decision{Verdict: SendReset, Reason: ReasonNoRoute}
 	}
+	if !e.roster.Quiet {
+		return Decision{Verdict: Drop, Reason: ReasonUnsettled} // the caller repeats the packet after 200 ms
+	}
 	service := route.pick(s.Flow)
 	f, known := e.flows[s.Flow]
 	reason := ReasonPlaced
--- a/internal/passthrough/net_test.go
+++ b/internal/passthrough/net_test.go
@@ -16,6 +16,7 @@
 	table   *Table
 	order   []Endpoint
 	settled bool
+	growing bool // agents were added to the roster just now
 	resets  []Flow
 	visits  int // deliveries to hosts for the last packet
 }
@@ -74,13 +75,15 @@
 		peers = append(peers, Peer{Tunnel: at, Domain: "d", Service: h.service, Active: !h.draining, Slots: 3,
 			Flows: uint32(flows), Busy: uint32(busy)})
 	}
+	r := NewRoster(peers, n.settled)
+	r.Quiet = !n.growing
 	for _, e := range n.entries {
 		e.SetTable(n.table)
-		e.SetRoster(NewRoster(peers, n.settled))
+		e.SetRoster(r)
 	}
 	for _, a := range n.agents {
 		a.SetTable(n.table)
-		a.SetRoster(NewRoster(peers, n.settled))
+		a.SetRoster(r)
 	}
 }
 
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -246,6 +246,18 @@
 	g.Expect(n.resets).To(gomega.HaveLen(1))
 }
 
+// While agents are still reporting after a common start, a new flow must wait: the first ones would get all of them.
+func TestOpeningWaitsForAgents(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 3)
+	n.settled, n.growing = false, true
+	n.publish()
+	g.Expect(n.entries[0].Packet(0, open(1)).Verdict).To(gomega.Equal(Drop))
+	n.growing = false
+	n.publish()
+	g.Expect(n.entries[0].Packet(200, open(1)).Verdict).To(gomega.Equal(ToPeer))
+}
+
 // An address without a route answers new flows with a reset and does not touch others: they may belong to a declaration
 // that this entry has not heard of.
 func TestNoRoute(t *testing.T) {
--- a/internal/passthrough/roster.go
+++ b/internal/passthrough/roster.go
@@ -24,12 +24,13 @@
 type Roster struct {
 	Peers   []Peer
 	Settled bool // every live agent is in it
+	Quiet   bool // no agent was added lately
 	index   map[Endpoint]int
 }
 
 // NewRoster returns a roster of the peers.
 func NewRoster(peers []Peer, settled bool) *Roster {
-	r := &Roster{Peers: peers, Settled: settled, index: make(map[Endpoint]int, len(peers))}
+	r := &Roster{Peers: peers, Settled: settled, Quiet: settled, index: make(map[Endpoint]int, len(peers))}
 	for i, p := range peers {
 		r.index[p.Tunnel] = i
 	}
--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -22,6 +22,7 @@
 type View struct {
 	Records     []Record
 	Settled     bool
+	Quiet       bool
 	Version     uint64
 	Declaration []byte // set if newer than the one held
 	From        netip.AddrPort
@@ -52,6 +53,9 @@
 	closer   func()
 	failures int
 	failed   map[netip.AddrPort]time.Time
+	last     []Record  // of the last settled roster
+	lastAt   time.Time // when it arrived
+	teach    bool      // the control VM in use has just started
 }
 
 // NewClient returns a client.
@@ -107,14 +111,14 @@
 		case <-c.wake:
 		}
 		wait := Interval
-		if !c.Report(ctx) {
+		if !c.Report(ctx) || c.cfg.Held() == 0 {
 			wait = retryInterval
 		}
 		timer.Reset(wait)
 	}
 }
 
-// retryInterval is the pause before another control VM is asked.
+// retryInterval is the pause before another control VM is asked, or the same one for the first declaration.
 const retryInterval = 50 * time.Millisecond
 
 // Report makes one call and reports whether it reached a control VM that hears its leader.
@@ -125,7 +129,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	response, err := client.Sync(ctx, &pb.SyncRequest{Self: ToWire(c.cfg.Self()), Declared: c.cfg.Held()})
+	request := &pb.SyncRequest{Self: ToWire(c.cfg.Self()), Declared: c.cfg.Held(), Known: c.lesson()}
+	response, err := client.Sync(ctx, request)
 	if err != nil {
 		c.leave(at, "call_failed", err)
 		return false
@@ -145,8 +150,24 @@
 	return true
 }
 
+// lesson returns what this process knows of others, for a control VM that has just started.
+func (c *Client) lesson() []*pb.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.teach {
+		return nil
+	}
+	passed := time.Since(c.lastAt)
+	out := make([]*pb.Record, 0, len(c.last))
+	for _, r := range c.last {
+		r.Age += passed
+		out = append(out, ToWire(r))
+	}
+	return out
+}
+
 func (c *Client) accept(at netip.AddrPort, response *pb.SyncResponse) {
-	v := View{Settled: response.GetSettled(), Version: response.GetDeclared(), Declaration: response.GetDeclaration(), From: at}
+	v := View{Settled: response.GetSettled(), Quiet: response.GetQuiet(), Version: response.GetDeclared(), Declaration: response.GetDeclaration(), From: at}
 	var controls []Record
 	for _, m := range response.GetRecords() {
 		r := FromWire(m)
@@ -163,6 +184,10 @@
 		return a.Address.Less(b.Address)
 	})
 	c.mu.Lock()
+	c.teach = !v.Settled && len(c.last) > 0
+	if v.Settled {
+		c.last, c.lastAt = v.Records, time.Now()
+	}
 	c.known = c.known[:0]
 	for _, r := range controls {
 		c.known = append(c.known, netip.AddrPortFrom(r.Address, c.cfg.RPCPort))
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -35,7 +35,12 @@
 		self.Age = 0
 		s.store.Put(now, self)
 	}
-	response := &pb.SyncResponse{Current: s.declarations.Current(), Settled: s.store.Settled(now)}
+	for _, m := range request.GetKnown() {
+		s.store.Put(now, FromWire(m))
+	}
+	response := &pb.SyncResponse{
+		Current: s.declarations.Current(), Settled: s.store.Settled(now), Quiet: s.store.Quiet(now),
+	}
 	version, content := s.declarations.Held()
 	response.Declared = version
 	if version > request.GetDeclared() {
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -14,9 +14,12 @@
 	expiry = 12 * time.Second
 	// leavingExpiry is how long a process that stops without an upstream is kept, so that the news reaches all control VMs.
 	leavingExpiry = 3 * time.Second
-	// settling is how long a new store collects before it is taken for complete: a process changes its control VM
-	// after callTimeout and reports within Interval.
-	settling = 2500 * time.Millisecond
+	// settling is how long a new store collects before it is taken for complete: a process reports within Interval, or
+	// callTimeout later if its control VM does not answer, and every process passes on what it knows of the others.
+	settling = 1200 * time.Millisecond
+	// quietAfter is how long no unknown process may have reported before new flows are placed by the store: processes that
+	// start together report within a few retries (retryInterval) of each other. Flows placed earlier would crowd the first.
+	quietAfter = 250 * time.Millisecond
 )
 
 type key struct {
@@ -34,11 +37,12 @@
 	mu      sync.Mutex
 	records map[key]kept
 	started time.Time
+	grown   time.Time // when an unknown agent reported last
 }
 
 // NewStore returns an empty store.
 func NewStore(now time.Time) *Store {
-	return &Store{records: map[key]kept{}, started: now}
+	return &Store{records: map[key]kept{}, started: now, grown: now}
 }
 
 // Put stores records. The one that was heard last holds.
@@ -52,6 +56,9 @@
 		if ok && old.heard.After(heard) {
 			continue
 		}
+		if !ok && r.Kind == KindAgent {
+			s.grown = now
+		}
 		s.records[k] = kept{r, heard}
 	}
 }
@@ -79,3 +86,10 @@
 	defer s.mu.Unlock()
 	return now.Sub(s.started) >= settling
 }
+
+// Quiet reports whether no unknown agent has reported for a while, or the store is settled.
+func (s *Store) Quiet(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.grown) >= quietAfter || now.Sub(s.started) >= settling
+}
