Report no leader once it is not heard

Change: a member forgets a leader that it has not heard for an election timeout. Test: TestMinorityReportsNoLeader fails without the change.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -139,6 +139,9 @@
 		c.tickLeader()
 		return
 	}
+	if c.leader != "" && !c.leaderRecent() {
+		c.leader = ""
+	}
 	if c.now.Before(c.electionAt) {
 		return
 	}
--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -277,3 +277,32 @@
 		t.Fatalf("%d of %d groups had no leader within an election timeout", slow, rounds)
 	}
 }
+
+// Members that are cut off together from the leader must soon report that they hear none, though they encourage each
+// other's elections all the time: whoever asks such a member for the newest state has to go elsewhere.
+func TestMinorityReportsNoLeader(t *testing.T) {
+	g := newGroup(5)
+	leader := g.settle()
+	minority := map[MemberID]bool{}
+	for _, id := range g.order {
+		if id != leader && len(minority) < 2 {
+			minority[id] = true
+		}
+	}
+	for _, a := range g.order {
+		for _, b := range g.order {
+			if minority[a] != minority[b] {
+				g.cut[[2]MemberID{a, b}] = true
+			}
+		}
+	}
+	g.run(3 * testConfig.Election)
+	for range 100 {
+		g.run(testConfig.Heartbeat)
+		for id := range minority {
+			if known := g.peers[id].core.Status().Leader; known != "" {
+				t.Fatalf("%s reports the leader %s that it cannot hear", id, known)
+			}
+		}
+	}
+}
