--- /dev/null
+++ b/internal/declared/declared_test.go
@@ -0,0 +1,57 @@
+package declared_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/plantainseam/plantainseam/internal/declared"
+)
+
+// Whatever order versions are committed in, the highest one is in force with the content it had first, and a snapshot
+// gives the same state.
+func TestHighestVersionHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := declared.New(nil)
+		first := map[uint64]string{}
+		highest := uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "commands") {
+			version := rapid.Uint64Range(1, 6).Draw(t, "version")
+			content := rapid.StringN(0, 4, 8).Draw(t, "content")
+			m.Apply(1, time.Unix(0, 0), declared.Command(version, []byte(content)))
+			if version > highest {
+				highest, first[version] = version, content
+			}
+			held, got := m.Held()
+			if held != highest || string(got) != first[highest] {
+				t.Fatalf("version %d %q is in force, want %d %q", held, got, highest, first[highest])
+			}
+		}
+		snapshot, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := declared.New(nil)
+		if err := restored.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		if v, c := restored.Held(); v != highest || string(c) != first[highest] {
+			t.Fatalf("restored %d %q", v, c)
+		}
+	})
+}
+
+// Damaged input changes nothing, and the empty first snapshot of a log is no declaration.
+func TestDamagedInput(t *testing.T) {
+	g := gomega.NewWithT(t)
+	changes := 0
+	m := declared.New(func(uint64) { changes++ })
+	g.Expect(m.Apply(1, time.Unix(0, 0), []byte("short"))).To(gomega.BeNil())
+	g.Expect(m.Restore(nil)).To(gomega.Succeed())
+	g.Expect(m.Restore([]byte("short"))).NotTo(gomega.Succeed())
+	version, _ := m.Held()
+	g.Expect(version).To(gomega.BeZero())
+	g.Expect(changes).To(gomega.BeZero())
+}
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -192,11 +192,15 @@
 
 func (a *Agent) carryOut(s passthrough.Segment, d passthrough.Decision, packet, out []byte) []byte {
 	a.counts.decision(d)
+	if d.Change != passthrough.Unchanged {
+		a.logChange(s, d)
+	}
 	switch d.Verdict {
 	case passthrough.ToHost:
 		a.send(packet, a.cfg.Upstream)
 	case passthrough.ToPeer:
 		a.cfg.Codec.Clean(packet)
+		a.logPeer(s, d)
 		out = passthrough.AppendForward(out, d.Forward, packet)
 		a.send(out, d.Peer.AddrPort())
 	case passthrough.ToCaller:
@@ -207,11 +211,11 @@
 		}
 	case passthrough.SendReset:
 		out = a.cfg.Codec.AppendReset(out, s)
-		a.logFlow(s, d)
+		a.logRefusal(s, d)
 		a.send(out, callerAddress(s, a.cfg.Tunnel))
 	case passthrough.Drop:
 		if d.Reason != passthrough.ReasonNotMine {
-			a.logFlow(s, d)
+			a.logRefusal(s, d)
 		}
 	}
 	if d.Misses {
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -38,6 +38,7 @@
 	Codec     Codec
 	Read      Declarations
 	Logger    log.Logger
+	FlowLog   log.Logger // lines about flows that go well
 	Incarnate uint64
 
 	// Agents only.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -125,18 +125,20 @@
 	switch d.Verdict {
 	case passthrough.ToPeer:
 		out = passthrough.AppendForward(out, d.Forward, b)
+		e.logPeer(s, d)
 		e.send(out, d.Peer.AddrPort())
 	case passthrough.ToAll:
+		e.logRefusal(s, d)
 		out = passthrough.AppendForward(out, d.Forward, b)
 		for _, peer := range d.Peers {
 			e.send(out, peer.AddrPort())
 		}
 	case passthrough.SendReset:
 		out = e.cfg.Codec.AppendReset(out, s)
-		e.logFlow(s, d)
+		e.logRefusal(s, d)
 		e.send(out, callerAddress(s, e.cfg.Tunnel))
 	case passthrough.Drop:
-		e.logFlow(s, d)
+		e.logRefusal(s, d)
 	}
 	return out
 }
@@ -146,11 +148,6 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(s.Flow.Caller.IP), tunnel.Port())
 }
 
-func (l *link) logFlow(s passthrough.Segment, d passthrough.Decision) {
-	_ = l.cfg.Logger.Log("event", "flow_refused", "flow", s.Flow, "opens", s.Opens(), "reason", d.Reason,
-		"reset", d.Verdict == passthrough.SendReset, "version", l.version())
-}
-
 func (e *Entry) send(b []byte, to netip.AddrPort) {
 	if _, err := e.conn.WriteToUDPAddrPort(b, to); err != nil {
 		e.counts.add("send_error")
--- /dev/null
+++ b/internal/forwarder/flowlog.go
@@ -0,0 +1,29 @@
+package forwarder
+
+import "github.com/plantainseam/plantainseam/internal/passthrough"
+
+// logRefusal logs a packet that reached no upstream, or whose flow was reset.
+func (l *link) logRefusal(s passthrough.Segment, d passthrough.Decision) {
+	_ = l.cfg.Logger.Log("event", "flow_refused", "flow", s.Flow, "opens", s.Opens(), "reason", d.Reason,
+		"reset", d.Verdict == passthrough.SendReset, "asked", len(d.Peers), "version", l.version())
+}
+
+// logPeer logs the choice of an agent for a new flow, and a search for the holder of an old one. Packets of flows whose
+// holder is known are only counted.
+func (l *link) logPeer(s passthrough.Segment, d passthrough.Decision) {
+	switch d.Reason {
+	case passthrough.ReasonKnown:
+		return
+	case passthrough.ReasonPlaced:
+		_ = l.cfg.FlowLog.Log("event", "flow_placed", "flow", s.Flow, "agent", d.Peer, "load", d.Load, "age_ms", d.AgeMs,
+			"version", d.Forward.Version)
+		return
+	}
+	_ = l.cfg.Logger.Log("event", "flow_searched", "flow", s.Flow, "opens", s.Opens(), "reason", d.Reason, "agent", d.Peer,
+		"visited", len(d.Forward.Visited), "version", d.Forward.Version)
+}
+
+// logChange logs the beginning and the end of a flow at the upstream.
+func (l *link) logChange(s passthrough.Segment, d passthrough.Decision) {
+	_ = l.cfg.FlowLog.Log("event", "flow_"+string(d.Change), "flow", s.Flow, "flows", d.Flows, "busy", d.Busy)
+}
--- /dev/null
+++ b/internal/group/group_test.go
@@ -0,0 +1,274 @@
+package group
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/consensus"
+	"github.com/plantainseam/plantainseam/internal/declared"
+	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
+)
+
+// patience bounds waits in tests. A test that passes does not reach it.
+const patience = time.Minute
+
+func voters(ids ...string) consensus.Membership {
+	var m consensus.Membership
+	for _, id := range ids {
+		m.Members = append(m.Members, consensus.Member{ID: consensus.MemberID(id), Address: "address-" + id})
+	}
+	return m
+}
+
+// The decisions of the leader about the membership, in one table: a wrong one loses the quorum or lets a member with an
+// empty disk vote under its old name.
+func TestNextChange(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	learner := func(m consensus.Membership, id string) consensus.Membership {
+		m.Members = append(m.Members, consensus.Member{ID: consensus.MemberID(id), Address: "address-" + id, Learner: true})
+		return m
+	}
+	cases := []struct {
+		name    string
+		members consensus.Membership
+		asked   string // identity that asks to join
+		address string
+		silent  []string
+		since   time.Duration
+		kind    consensus.ChangeKind
+		id      string
+	}{
+		{name: "nothing to do", members: voters("a", "b", "c", "d", "e")},
+		{name: "a machine asks to join", members: voters("a", "b", "c"), asked: "n", kind: consensus.AddLearner, id: "n"},
+		{name: "a member asks again", members: voters("a", "b", "c", "d", "e"), asked: "b"},
+		{name: "a machine lost its disk", members: voters("a", "b", "c", "d", "e"), asked: "n", address: "address-b",
+			kind: consensus.Remove, id: "b"},
+		{name: "a learner caught up", members: learner(voters("a", "b", "c"), "n"), kind: consensus.Promote, id: "n"},
+		{name: "too few voters: promotion comes before another removal", members: learner(voters("a", "b", "c", "d"), "n"),
+			asked: "m", address: "address-d", kind: consensus.Promote, id: "n"},
+		{name: "a silent voter without a replacement stays", members: voters("a", "b", "c", "d", "e"), silent: []string{"b"}, since: time.Hour},
+		{name: "a silent voter with a replacement goes", members: learner(voters("a", "b", "c", "d", "e"), "n"),
+			silent: []string{"b"}, since: 5 * time.Second, kind: consensus.Remove, id: "b"},
+		{name: "a voter that is silent for a moment stays, the learner is promoted", members: learner(voters("a", "b", "c", "d", "e"), "n"),
+			silent: []string{"b"}, since: time.Second, kind: consensus.Promote, id: "n"},
+		{name: "a silent voter beyond the needed number goes", members: voters("a", "b", "c", "d", "e", "f"),
+			silent: []string{"f"}, since: 5 * time.Second, kind: consensus.Remove, id: "f"},
+		{name: "a silent learner goes", members: learner(voters("a", "b", "c", "d", "e"), "n"),
+			silent: []string{"n"}, since: 5 * time.Second, kind: consensus.Remove, id: "n"},
+		{name: "a silent learner is not promoted", members: learner(voters("a", "b", "c"), "n"), silent: []string{"n"}, since: time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			group := New(Config{Tolerated: 2, Silence: 4 * time.Second, Logger: log.NewNopLogger()})
+			status := consensus.Status{ID: "a", Membership: c.members}
+			for _, m := range c.members.Members {
+				p := consensus.MemberProgress{ID: m.ID, Active: true}
+				for _, s := range c.silent {
+					if string(m.ID) == s {
+						p.Active = false
+						group.silent[m.ID] = now.Add(-c.since)
+					}
+				}
+				status.Progress = append(status.Progress, p)
+			}
+			if c.asked != "" {
+				address := c.address
+				if address == "" {
+					address = "address-" + c.asked
+				}
+				id := consensus.MemberID(c.asked)
+				group.asked[id] = consensus.Member{ID: id, Address: address}
+			}
+			change, _ := group.nextChange(status, now)
+			if c.id == "" {
+				g.Expect(change).To(BeNil())
+				return
+			}
+			g.Expect(change).NotTo(BeNil())
+			g.Expect(change.Kind).To(Equal(c.kind))
+			g.Expect(string(change.ID)).To(Equal(c.id))
+		})
+	}
+}
+
+// vm is a control VM of a test on a loopback address.
+type vm struct {
+	address netip.AddrPort
+	dir     string
+	machine *declared.Machine
+	group   *Group
+	stop    func()
+
+	tolerated int
+}
+
+func newVM(t *testing.T) *vm {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	_ = listener.Close()
+	return &vm{address: address, dir: t.TempDir(), tolerated: 2}
+}
+
+// start runs the VM. It is stopped at the end of the test.
+func (v *vm) start(t *testing.T, founder bool, seeds []netip.AddrPort) {
+	v.machine = declared.New(nil)
+	v.group = New(Config{
+		Name: "control", Self: v.address, DataDir: v.dir, Founder: founder, Seeds: seeds, Tolerated: v.tolerated,
+		Silence: 500 * time.Millisecond, Machine: v.machine, Logger: log.NewNopLogger(),
+		Controls: func() []netip.AddrPort { return nil },
+	})
+	listener, err := net.Listen("tcp4", v.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(pb.GroupPathPrefix, pb.NewGroupServer(v.group))
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		if transport := v.group.Transport(); transport != nil {
+			transport.Handler().ServeHTTP(w, r)
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); v.group.Run(ctx) }()
+	v.stop = func() {
+		cancel()
+		_ = server.Close()
+		<-done
+	}
+	t.Cleanup(func() { v.stop() })
+}
+
+func (v *vm) declare(version uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return v.group.Propose(ctx, version, declared.Command(version, []byte("content")))
+}
+
+func allVote(vms []*vm, n int) func() bool {
+	return func() bool {
+		for _, v := range vms {
+			status, ok := v.group.Status()
+			if !ok || status.Membership.Voters() != n || status.Leader == "" || !status.Membership.Voter(status.ID) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Five control VMs that are given three addresses must become one group of five voters; a declaration must survive the
+// loss of two disks right after it was acknowledged, and the machines must vote again under new identities.
+func TestGroupFormsAndSurvivesLostDisks(t *testing.T) {
+	g := NewWithT(t)
+	var vms []*vm
+	var seeds []netip.AddrPort
+	for i := range 5 {
+		vms = append(vms, newVM(t))
+		if i < 3 {
+			seeds = append(seeds, vms[i].address)
+		}
+	}
+	for i := range vms {
+		vms[len(vms)-1-i].start(t, true, seeds)
+	}
+	g.Eventually(allVote(vms, 5), patience, 20*time.Millisecond).Should(BeTrue())
+	g.Eventually(func() error { return vms[4].declare(7) }, patience, 20*time.Millisecond).Should(Succeed())
+	before, _ := vms[0].group.Status()
+	for _, v := range vms[:2] {
+		v.stop()
+		g.Expect(os.RemoveAll(filepath.Join(v.dir, "group"))).To(Succeed())
+		v.start(t, false, seeds)
+	}
+	g.Eventually(allVote(vms, 5), patience, 20*time.Millisecond).Should(BeTrue())
+	for _, v := range vms {
+		g.Eventually(func() uint64 { version, _ := v.machine.Held(); return version }, patience, 20*time.Millisecond).Should(Equal(uint64(7)))
+	}
+	after, _ := vms[0].group.Status()
+	g.Expect(after.ID).NotTo(Equal(before.ID))
+}
+
+// A declaration must not be acknowledged before the group can lose the tolerated number of disks.
+func TestNoAcknowledgementBeforeEnoughVoters(t *testing.T) {
+	g := NewWithT(t)
+	var vms []*vm
+	var seeds []netip.AddrPort
+	for i := range 3 {
+		vms = append(vms, newVM(t))
+		seeds = append(seeds, vms[i].address)
+	}
+	for _, v := range vms {
+		v.start(t, true, seeds)
+	}
+	g.Eventually(allVote(vms, 3), patience, 20*time.Millisecond).Should(BeTrue())
+	g.Expect(vms[0].declare(1)).NotTo(Succeed())
+	version, _ := vms[0].machine.Held()
+	g.Expect(version).To(BeZero())
+	for range 2 {
+		v := newVM(t)
+		v.start(t, true, seeds)
+		vms = append(vms, v)
+	}
+	g.Eventually(allVote(vms, 5), patience, 20*time.Millisecond).Should(BeTrue())
+	g.Eventually(func() error { return vms[0].declare(2) }, patience, 20*time.Millisecond).Should(Succeed())
+}
+
+// All processes can be killed at once. What was acknowledged must be read again without any help.
+func TestWholeGroupRestarts(t *testing.T) {
+	g := NewWithT(t)
+	var vms []*vm
+	var seeds []netip.AddrPort
+	for range 5 {
+		v := newVM(t)
+		vms = append(vms, v)
+		seeds = append(seeds, v.address)
+	}
+	for _, v := range vms {
+		v.start(t, true, seeds)
+	}
+	g.Eventually(allVote(vms, 5), patience, 20*time.Millisecond).Should(BeTrue())
+	g.Eventually(func() error { return vms[0].declare(3) }, patience, 20*time.Millisecond).Should(Succeed())
+	for _, v := range vms {
+		v.stop()
+	}
+	for _, v := range vms {
+		v.start(t, true, seeds) // a restart while the settings still speak of the first start
+	}
+	for _, v := range vms {
+		g.Eventually(func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			if v.group.Read(ctx) != nil {
+				return false
+			}
+			version, _ := v.machine.Held()
+			return version == 3
+		}, patience, 20*time.Millisecond).Should(BeTrue())
+	}
+}
+
+// A data directory whose creation a crash interrupted holds nothing and must not keep the process from starting.
+func TestIncompleteDirectoryIsMadeAgain(t *testing.T) {
+	g := NewWithT(t)
+	v := newVM(t)
+	g.Expect(os.MkdirAll(filepath.Join(v.dir, "group", logName), 0o755)).To(Succeed())
+	seeds := []netip.AddrPort{v.address}
+	v.tolerated = 0
+	v.start(t, true, seeds)
+	g.Eventually(func() error { return v.declare(1) }, patience, 20*time.Millisecond).Should(Succeed())
+}
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -145,8 +145,8 @@
 		a.flows[s.Flow] = f
 	}
 	f.seenMs = now
-	a.answered(f, s)
-	d := Decision{Verdict: ToCaller, Reason: ReasonAnswer}
+	change := a.answered(f, s)
+	d := Decision{Verdict: ToCaller, Reason: ReasonAnswer, Change: change, Flows: a.open, Busy: a.busy}
 	if f.held && !f.closing && f.entry != (Endpoint{}) && f.told != f.entry {
 		f.told = f.entry
 		d.HintTo = f.entry
@@ -156,10 +156,14 @@
 }
 
 // answered updates a flow after a packet of the upstream.
-func (a *Agent) answered(f *agentFlow, s Segment) {
+func (a *Agent) answered(f *agentFlow, s Segment) Change {
+	change := Unchanged
 	if !f.held && !s.Rst {
 		f.held = true
 		a.open++
+		if s.Syn {
+			change = Opened
+		}
 	}
 	if f.busy && s.Data > 0 {
 		f.busy = false
@@ -169,8 +173,10 @@
 		f.closing = true
 		if f.held {
 			a.open--
+			change = Ended
 		}
 	}
+	return change
 }
 
 // bounced handles a packet that the upstream returned.
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -45,8 +45,25 @@
 	Hint    *Holds   // to be sent to HintTo
 	Misses  bool     // HintTo is told that the flow is not here
 	HintTo  Endpoint // entry that is told
+
+	// For logs.
+	Load   float64 // placement cost of the chosen agent
+	AgeMs  int64   // of the report that it was chosen by
+	Change Change  // of the flow at the upstream
+	Flows  int     // open flows at the upstream afterwards
+	Busy   int     // of them, with an unanswered request
 }
 
+// Change is what a packet of the upstream changed about its flow.
+type Change string
+
+// Changes.
+const (
+	Unchanged Change = ""
+	Opened    Change = "opened"
+	Ended     Change = "ended"
+)
+
 // Times of the machines in milliseconds.
 const (
 	// suspectMs is how long a peer that left a new flow unanswered gets no other: two reports of its heartbeat.
@@ -207,8 +224,10 @@
 		e.makeRoom()
 	}
 	e.flows[s.Flow] = entryFlow{peer: p.Tunnel, seenMs: now, tries: f.tries + 1}
+	d := e.forward(p.Tunnel, reason, service, nil)
+	d.Load, d.AgeMs = loadOf(p, e.placed[p.Tunnel], e.choice.domain), p.AgeMs
 	e.placed[p.Tunnel]++
-	return e.forward(p.Tunnel, reason, service, nil)
+	return d
 }
 
 // makeRoom forgets some flow when there are too many; its next packet is searched for.
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,75 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/upstream"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func announcement(id string, born, sequence int64, draining bool) upstream.Announcement {
+	return upstream.Announcement{ID: id, Born: born, Sequence: sequence, Service: "s", Slots: 3, Draining: draining}
+}
+
+// Announcements can arrive late, twice, or after their process was replaced. None of that may bring back new flows for a
+// process that leaves or is gone.
+func TestAnnouncements(t *testing.T) {
+	type step struct {
+		a       upstream.Announcement
+		outcome upstream.Outcome
+		active  bool
+	}
+	cases := []struct {
+		name  string
+		steps []step
+	}{
+		{"renewed", []step{
+			{announcement("a", 10, 1, false), upstream.Accepted, true},
+			{announcement("a", 10, 2, false), upstream.Accepted, true}}},
+		{"a late one after the drain began", []step{
+			{announcement("a", 10, 5, true), upstream.Accepted, false},
+			{announcement("a", 10, 4, false), upstream.Stale, false}}},
+		{"ready again after draining", []step{
+			{announcement("a", 10, 5, true), upstream.Accepted, false},
+			{announcement("a", 10, 6, false), upstream.Accepted, false}}},
+		{"a second copy", []step{
+			{announcement("a", 10, 1, false), upstream.Accepted, true},
+			{announcement("a", 10, 1, false), upstream.Stale, true}}},
+		{"a new process under another identity", []step{
+			{announcement("a", 10, 9, true), upstream.Accepted, false},
+			{announcement("b", 20, 1, false), upstream.Restarted, true}}},
+		{"a new process under the same identity counts anew", []step{
+			{announcement("a", 10, 9, false), upstream.Accepted, true},
+			{announcement("a", 20, 1, false), upstream.Restarted, true}}},
+		{"a delayed one of the process before", []step{
+			{announcement("b", 20, 1, true), upstream.Accepted, false},
+			{announcement("a", 10, 99, false), upstream.Stale, false}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			tracker := upstream.Tracker{Silence: time.Second}
+			for i, s := range c.steps {
+				g.Expect(tracker.Announce(start, s.a)).To(gomega.Equal(s.outcome), "step %d", i)
+				g.Expect(tracker.Upstream(start).Active).To(gomega.Equal(s.active), "step %d", i)
+			}
+		})
+	}
+}
+
+// A silent upstream gets no new flows, a gone one is unknown, and its late announcement changes nothing.
+func TestSilenceAndEnd(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := upstream.Tracker{Silence: time.Second}
+	tracker.Announce(start, announcement("a", 10, 1, false))
+	g.Expect(tracker.Upstream(start.Add(1100 * time.Millisecond)).Active).To(gomega.BeFalse())
+	g.Expect(tracker.Leave("other")).To(gomega.BeFalse())
+	g.Expect(tracker.Leave("a")).To(gomega.BeTrue())
+	g.Expect(tracker.Upstream(start).Service).To(gomega.BeEmpty())
+	g.Expect(tracker.Announce(start, announcement("a", 10, 2, false))).To(gomega.Equal(upstream.Stale))
+	g.Expect(tracker.Announce(start, announcement("c", 30, 1, false))).To(gomega.Equal(upstream.Restarted))
+}
