--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -88,6 +88,7 @@
 		{"abort", "end a plan and restore what can be restored", &abort{app: a}},
 		{"report", "fetch, sign, verify and print closing reports", newReport(a)},
 		{"timeline", "merge the events of processes in causal order", &timelineCommand{app: a}},
+		{"explain", "time line and likely cause of one flow, from the logs of all processes", &explainCommand{app: a}},
 		{"pki", "make the certificates and keys of a deployment", newPKI(a)},
 	}
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -189,15 +189,32 @@
 	}
 	directory, err := store.Open(path, "")
 	if err != nil {
-		return nil, false, err
+		return nil, false, g.setAside(err)
 	}
 	blank, err := isBlank(directory)
 	if err != nil {
-		return nil, false, errors.Join(err, directory.Close())
+		return nil, false, g.setAside(errors.Join(err, directory.Close()))
 	}
 	return directory, blank, nil
 }
 
+// setAside moves a damaged data directory away, so that the next attempt creates a new one. The VM then joins the group
+// under a new identity, as if it had lost its disk: under the old one it might vote without what it had acknowledged.
+// Any other error is returned as it is.
+func (g *Group) setAside(err error) error {
+	if result.CodeOf(err) != result.StoreCorrupt {
+		return err
+	}
+	aside := g.directory() + ".damaged"
+	if removeErr := os.RemoveAll(aside); removeErr != nil {
+		return errors.Join(err, removeErr)
+	}
+	if renameErr := os.Rename(g.directory(), aside); renameErr != nil {
+		return errors.Join(err, renameErr)
+	}
+	return errors.Join(err, syncFolder(g.cfg.DataDir))
+}
+
 func syncFolder(path string) error {
 	f, err := os.Open(path)
 	if err != nil {
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -272,3 +272,34 @@
 	v.start(t, true, seeds)
 	g.Eventually(func() error { return v.declare(1) }, patience, 20*time.Millisecond).Should(Succeed())
 }
+
+// A member whose files are damaged must come back as a new member, and not stay away or vote with what is left.
+func TestDamagedDirectoryJoinsAsNewMember(t *testing.T) {
+	g := NewWithT(t)
+	var vms []*vm
+	var seeds []netip.AddrPort
+	for range 3 {
+		v := newVM(t)
+		v.tolerated = 1
+		vms = append(vms, v)
+		seeds = append(seeds, v.address)
+	}
+	for _, v := range vms {
+		v.start(t, true, seeds)
+	}
+	g.Eventually(allVote(vms, 3), patience, 20*time.Millisecond).Should(BeTrue())
+	g.Eventually(func() error { return vms[0].declare(3) }, patience, 20*time.Millisecond).Should(Succeed())
+	before, _ := vms[1].group.Status()
+	vms[1].stop()
+	segments, err := filepath.Glob(filepath.Join(vms[1].dir, "group", logName, "*.log"))
+	g.Expect(err).NotTo(HaveOccurred())
+	content, err := os.ReadFile(segments[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	content[len(content)/2] ^= 1
+	g.Expect(os.WriteFile(segments[0], content, 0o600)).To(Succeed())
+	vms[1].start(t, false, seeds)
+	g.Eventually(allVote(vms, 3), patience, 20*time.Millisecond).Should(BeTrue())
+	after, _ := vms[1].group.Status()
+	g.Expect(after.ID).NotTo(Equal(before.ID))
+	g.Eventually(func() uint64 { version, _ := vms[1].machine.Held(); return version }, patience, 20*time.Millisecond).Should(Equal(uint64(3)))
+}
--- a/scripts/walk.sh
+++ b/scripts/walk.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Walks through docs/operations.md with separate processes and TLS on loopback addresses, for both deployments: starts
+# Walks through docs/OPERATIONS.md with separate processes and TLS on loopback addresses, for both deployments: starts
 # three control VMs, three entry VMs and seven upstreams, creates the services, retires a host under traffic, loses the
 # leader meanwhile, closes a service and verifies the signed report. Exits 0 only if everything held.
 set -euo pipefail
