Fault soak of the real programs on loopback addresses

Separate processes are stopped, paused, killed and restarted by signals, disks are lost, hosts crash and drain, in series and overlapping, while callers keep flows open; observers check flows, packets, routes, drains, manifests, recovery and unexpected ends.

--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/plantainseam/plantainseam/platform/standin"
+)
+
+// Times of a run.
+const (
+	// startPatience bounds the wait for the first acknowledged manifest.
+	startPatience = 30 * time.Second
+	// calm is the time without faults at the end, after which everything has to work again (the platform's recoveryS).
+	calm = 12 * time.Second
+	// checkInterval is how often the operator reads the manifest back.
+	checkInterval = 700 * time.Millisecond
+)
+
+// soak is one run.
+type soak struct {
+	options
+	site      *standin.Site
+	processes map[string]*process
+	random    *rand.Rand
+	busy      sync.Map // machines with a fault under way
+	cores     sync.Mutex
+	faults    sync.WaitGroup
+}
+
+// run plays one seed and returns the number of violations.
+func run(o options) (int, error) {
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return 0, fmt.Errorf("folder: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	site, err := standin.New(standin.Config{
+		Folder: folder, Network: o.Network, Edges: o.Edges, Sides: o.Sides, Cores: o.Cores, Callers: o.Callers, Loss: o.Loss,
+	})
+	if err != nil {
+		return 0, err
+	}
+	s := &soak{options: o, site: site, processes: map[string]*process{}, random: rand.New(rand.NewPCG(o.Seed, 1))}
+	defer s.end()
+	for _, m := range site.Machines {
+		p, err := newProcess(o.Daemon, folder, site, m)
+		if err != nil {
+			return 0, err
+		}
+		if err := p.start(); err != nil {
+			return 0, err
+		}
+		s.processes[m.Name] = p
+	}
+	if err := s.play(); err != nil {
+		return 0, err
+	}
+	return s.report(folder)
+}
+
+// play starts the surroundings, injects faults and checks that everything works again.
+func (s *soak) play() error {
+	if !s.site.Operator.Declare(startPatience) {
+		s.site.Watch.Violate("start", "no manifest was acknowledged within %s", startPatience)
+		return nil
+	}
+	for _, m := range s.site.Machines {
+		if err := s.site.WriteSettings(m, false); err != nil {
+			return err
+		}
+	}
+	if err := s.site.Start(s.Seed); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	var operator sync.WaitGroup
+	operator.Add(1)
+	go func() {
+		defer operator.Done()
+		s.operate(stop)
+	}()
+	end := time.Now().Add(time.Duration(s.Seconds) * time.Second)
+	for time.Now().Before(end) {
+		s.inject()
+		time.Sleep(time.Duration(200+s.random.IntN(1500)) * time.Millisecond)
+	}
+	s.faults.Wait()
+	s.site.Watch.Note("faults end")
+	time.Sleep(calm)
+	close(stop)
+	operator.Wait()
+	s.checkRecovery()
+	return nil
+}
+
+// operate changes the manifest and reads it back until stop is closed.
+func (s *soak) operate(stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(checkInterval):
+		}
+		if n%3 == 0 {
+			s.site.Operator.Declare(5 * time.Second)
+		}
+		s.site.Operator.Check()
+	}
+}
+
+// checkRecovery checks that nothing acknowledged is lost and that callers are served again.
+func (s *soak) checkRecovery() {
+	if highest := s.site.Operator.Check(); highest < s.site.Operator.Acknowledged() {
+		s.site.Watch.Violate("lost", "version %d was acknowledged, %d is the highest read", s.site.Operator.Acknowledged(), highest)
+	}
+	before := s.site.Watch.Counts()["answered"]
+	time.Sleep(2 * time.Second)
+	if s.site.Watch.Counts()["answered"] == before {
+		s.site.Watch.Violate("recover", "no request was answered for 2 s after %s without faults", calm)
+	}
+}
+
+// fault is a kind of fault on one machine.
+type fault struct {
+	name  string
+	class string
+	run   func(p *process) error
+}
+
+// faults are injected in series and overlapping.
+func (s *soak) kinds() []fault {
+	away := time.Duration(s.random.IntN(3000)) * time.Millisecond
+	freeze := func(p *process) error {
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(away)
+		p.signal(syscall.SIGCONT)
+		return nil
+	}
+	kill := func(p *process) error { return p.restart(syscall.SIGKILL, away) }
+	stop := func(p *process) error { return p.restart(syscall.SIGTERM, 0) }
+	return []fault{
+		{"kill", "edge", kill}, {"kill", "side", kill}, {"kill", "core", kill},
+		{"stop", "edge", stop}, {"stop", "side", stop}, {"stop", "core", stop},
+		{"freeze", "edge", freeze}, {"freeze", "side", freeze}, {"freeze", "core", freeze},
+		{"wipe", "core", s.wipe}, {"crash host", "side", s.crashHost}, {"drain host", "side", s.drainHost},
+		{"hang up", "edge", hangUp}, {"hang up", "core", hangUp},
+	}
+}
+
+func hangUp(p *process) error {
+	p.signal(syscall.SIGHUP)
+	return nil
+}
+
+// wipe takes a control process and its disk away.
+func (s *soak) wipe(p *process) error {
+	p.stop(syscall.SIGKILL)
+	if err := os.RemoveAll(p.machine.DataDir); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(p.machine.DataDir, 0o755); err != nil {
+		return err
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	time.Sleep(catchUp)
+	return nil
+}
+
+// catchUp is how long a control VM counts as lost after it is back (the platform's catchUpS).
+const catchUp = 4 * time.Second
+
+func (s *soak) crashHost(p *process) error {
+	s.site.Host(p.machine).Stop()
+	time.Sleep(time.Second)
+	return s.site.StartHost(p.machine)
+}
+
+func (s *soak) drainHost(p *process) error {
+	s.site.Host(p.machine).Drain()
+	time.Sleep(5 * time.Second)
+	s.site.Host(p.machine).Stop()
+	time.Sleep(restartPause)
+	return s.site.StartHost(p.machine)
+}
+
+// inject starts a fault on a machine that has none. One control VM at a time is hit, and at most half of the others of a
+// class: callers must be served somewhere.
+func (s *soak) inject() {
+	kinds := s.kinds()
+	f := kinds[s.random.IntN(len(kinds))]
+	var free []*process
+	all := 0
+	for _, m := range s.site.Machines {
+		if m.Class != f.class {
+			continue
+		}
+		all++
+		if _, busy := s.busy.Load(m.Name); !busy {
+			free = append(free, s.processes[m.Name])
+		}
+	}
+	if 2*len(free) <= all {
+		return
+	}
+	p := free[s.random.IntN(len(free))]
+	if f.class == "core" && !s.cores.TryLock() {
+		return
+	}
+	s.busy.Store(p.machine.Name, true)
+	s.faults.Add(1)
+	s.site.Watch.Note("%s %s", f.name, p.machine.Name)
+	go func() {
+		defer s.faults.Done()
+		if err := f.run(p); err != nil {
+			s.site.Watch.Violate("soak", "%s %s: %v", f.name, p.machine.Name, err)
+		}
+		s.site.Watch.Note("%s %s ends", f.name, p.machine.Name)
+		s.busy.Delete(p.machine.Name)
+		if f.class == "core" {
+			s.cores.Unlock()
+		}
+	}()
+}
+
+// end stops everything that was started.
+func (s *soak) end() {
+	s.site.Stop()
+	for _, p := range s.processes {
+		p.stop(syscall.SIGKILL)
+		_ = p.log.Close() // nothing reads it any more
+	}
+}
+
+// report prints what was seen and keeps the logs of a run with violations.
+func (s *soak) report(folder string) (int, error) {
+	violations := s.site.Watch.Violations()
+	fmt.Printf("seed %d: %v\n", s.Seed, s.site.Watch.Counts())
+	for _, v := range violations {
+		fmt.Printf("  %8.3f  %s: %s\n", v.At.Seconds(), strings.ToUpper(v.Rule), v.What)
+	}
+	if len(violations) == 0 || s.Keep == "" {
+		return len(violations), nil
+	}
+	to := filepath.Join(s.Keep, fmt.Sprintf("seed-%d", s.Seed))
+	if err := os.CopyFS(to, os.DirFS(folder)); err != nil {
+		return len(violations), fmt.Errorf("keep logs: %w", err)
+	}
+	text := strings.Join(s.site.Watch.Events(), "\n") + "\n"
+	return len(violations), os.WriteFile(filepath.Join(to, "timeline.txt"), []byte(text), 0o600)
+}
