Acknowledge where fewer control VMs exist than the tolerated losses need; wait for those that join

Cause: with fewer than 2f+1 control VMs no declaration would ever be acknowledged, and with more a declaration could be acknowledged while further ones were still joining.

--- a/internal/group/maintain.go
+++ b/internal/group/maintain.go
@@ -41,10 +41,18 @@
 			g.set(func() { g.phase = PhaseMember })
 		}
 		if status.Role == consensus.Leader {
+			g.set(func() {
+				if g.changed.IsZero() {
+					g.changed = now
+				}
+			})
 			g.lead(ctx, n, status, now)
 			continue
 		}
-		g.set(func() { clear(g.silent) })
+		g.set(func() {
+			clear(g.silent)
+			g.changed = time.Time{}
+		})
 		if (!voter || now.Sub(heard) > leaderless) && now.Sub(askedAt) > leaderless/4 {
 			askedAt = now
 			g.askToJoin(ctx)
--- a/internal/group/server.go
+++ b/internal/group/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/plantainseam/plantainseam/internal/consensus"
 	"github.com/plantainseam/plantainseam/internal/result"
@@ -36,7 +37,7 @@
 		return &pb.JoinResponse{Code: uint32(result.StoreIdentity), Detail: "request names no identity or address"}, nil
 	}
 	if _, ok := n.Status().Membership.Find(member.ID); !ok {
-		g.set(func() { g.asked[member.ID] = member })
+		g.set(func() { g.asked[member.ID], g.changed = member, time.Now() })
 	}
 	return &pb.JoinResponse{}, nil
 }
