Ask all known control VMs at once while none is in use

Change: a process without a control VM asks all of them, waits 100 ms at first and 100 ms longer with each attempt. Test: TestClientFindsACurrentControlVM.

--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -48,19 +48,17 @@
 	mu       sync.Mutex
 	seeds    []netip.AddrPort
 	known    []netip.AddrPort // control VMs of the last roster, nearest first
-	at       netip.AddrPort   // in use; zero before the first call
-	client   pb.Roster
-	closer   func()
-	failures int
-	failed   map[netip.AddrPort]time.Time
-	last     []Record  // of the last settled roster
-	lastAt   time.Time // when it arrived
-	teach    bool      // the control VM in use has just started
+	link     *link            // to the control VM in use; nil while there is none
+	lost     bool             // a control VM was in use before
+	attempts int              // to connect since the last success
+	last     []Record         // of the last settled roster
+	lastAt   time.Time        // when it arrived
+	teach    bool             // the control VM in use has just started
 }
 
 // NewClient returns a client.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, seeds: cfg.Seeds, wake: make(chan struct{}, 1), failed: map[netip.AddrPort]time.Time{}}
+	return &Client{cfg: cfg, seeds: cfg.Seeds, wake: make(chan struct{}, 1)}
 }
 
 // SetSeeds replaces the seeds after a reload.
@@ -118,36 +116,118 @@
 	}
 }
 
-// retryInterval is the pause before another control VM is asked, or the same one for the first declaration.
+// retryInterval is the pause before control VMs are asked again, while none is in use or there is no declaration yet.
 const retryInterval = 50 * time.Millisecond
 
-// Report makes one call and reports whether it reached a control VM that hears its leader.
+// Report makes one call and reports whether it reached a control VM that hears its leader. Without a control VM in use, it
+// asks all that are known at once: some of them may be down, and each of those would cost a whole timeout.
 func (c *Client) Report(ctx context.Context) bool {
-	at, client := c.target()
-	if client == nil {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request := &pb.SyncRequest{Self: ToWire(c.cfg.Self()), Declared: c.cfg.Held(), Known: c.lesson()}
-	response, err := client.Sync(ctx, request)
+	c.mu.Lock()
+	link := c.link
+	c.mu.Unlock()
+	if link == nil {
+		return c.connect(ctx)
+	}
+	response, err := link.client.Sync(ctx, c.request())
 	if err != nil {
-		c.leave(at, "call_failed", err)
+		c.leave("call_failed", err)
 		return false
 	}
-	c.accept(at, response)
+	c.accept(link.at, response)
 	if !response.GetCurrent() {
-		c.leave(at, "no_leader_heard", nil)
+		c.leave("no_leader_heard", nil)
 		return false
 	}
+	return true
+}
+
+// link is the connection to one control VM.
+type link struct {
+	at     netip.AddrPort
+	client pb.Roster
+	close  func()
+}
+
+func newLink(at netip.AddrPort) *link {
+	transport := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: callTimeout}).DialContext,
+		MaxConnsPerHost: 1,
+		IdleConnTimeout: idleConnection,
+	}
+	client := pb.NewRosterProtobufClient("http://"+at.String(), &http.Client{Transport: transport})
+	return &link{at: at, client: client, close: transport.CloseIdleConnections}
+}
+
+// answer is the outcome of a call to one of several control VMs.
+type answer struct {
+	link     *link
+	response *pb.SyncResponse
+	err      error
+}
+
+// connect asks all known control VMs and uses the first one that hears its leader. If none does, what the last one knows
+// is taken all the same, and the caller tries again.
+func (c *Client) connect(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.patience())
+	defer cancel()
+	controls := c.Controls()
+	answers := make(chan answer, len(controls))
+	request := c.request()
+	for _, at := range controls {
+		go func() {
+			l := newLink(at)
+			response, err := l.client.Sync(ctx, request)
+			answers <- answer{l, response, err}
+		}()
+	}
+	var other *answer
+	for range controls {
+		a := <-answers
+		switch {
+		case a.err != nil:
+			a.link.close()
+		case a.response.GetCurrent():
+			c.use(a.link)
+			c.accept(a.link.at, a.response)
+			return true
+		default:
+			a.link.close()
+			other = &a
+		}
+	}
+	if other != nil {
+		c.accept(other.link.at, other.response)
+	}
+	return false
+}
+
+// connectTimeout is how long the first attempt waits for control VMs that do not answer; each further one waits longer by
+// as much, up to callTimeout. An answer from another failure domain takes less than 20 ms.
+const connectTimeout = 100 * time.Millisecond
+
+// patience returns how long this attempt to connect waits.
+func (c *Client) patience() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts++
+	return min(time.Duration(c.attempts)*connectTimeout, callTimeout)
+}
+
+func (c *Client) use(l *link) {
 	c.mu.Lock()
-	regained := c.failures > 0
-	c.failures = 0
+	c.link, c.attempts = l, 0
+	regained := c.lost
+	c.lost = false
 	c.mu.Unlock()
 	if regained {
-		_ = c.cfg.Logger.Log("event", "control_regained", "control", at)
+		_ = c.cfg.Logger.Log("event", "control_regained", "control", l.at)
 	}
-	return true
+}
+
+func (c *Client) request() *pb.SyncRequest {
+	return &pb.SyncRequest{Self: ToWire(c.cfg.Self()), Declared: c.cfg.Held(), Known: c.lesson()}
 }
 
 // lesson returns what this process knows of others, for a control VM that has just started.
@@ -196,52 +276,15 @@
 	c.cfg.Update(v)
 }
 
-// target returns the control VM to call.
-func (c *Client) target() (netip.AddrPort, pb.Roster) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.client != nil {
-		return c.at, c.client
-	}
-	all := c.controls()
-	if len(all) == 0 {
-		return netip.AddrPort{}, nil
-	}
-	// The one that failed longest ago, or never, comes first.
-	best := all[0]
-	for _, a := range all[1:] {
-		if c.failed[a].Before(c.failed[best]) {
-			best = a
-		}
-	}
-	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: callTimeout}).DialContext,
-		MaxConnsPerHost: 1,
-		IdleConnTimeout: idleConnection,
-	}
-	c.at = best
-	c.client = pb.NewRosterProtobufClient("http://"+best.String(), &http.Client{Transport: transport})
-	c.closer = transport.CloseIdleConnections
-	return c.at, c.client
-}
-
 // idleConnection closes a connection that was left behind.
 const idleConnection = 10 * time.Second
 
-func (c *Client) leave(at netip.AddrPort, reason string, err error) {
+// leave gives up the control VM in use.
+func (c *Client) leave(reason string, err error) {
 	c.mu.Lock()
-	first := c.failures == 0
-	c.failures++
-	if len(c.failed) > 64 {
-		clear(c.failed)
-	}
-	c.failed[at] = time.Now()
-	if c.closer != nil {
-		c.closer()
-	}
-	c.client, c.closer = nil, nil
+	l := c.link
+	c.link, c.lost = nil, true
 	c.mu.Unlock()
-	if first {
-		_ = c.cfg.Logger.Log("event", "control_lost", "control", at, "reason", reason, "error", err)
-	}
+	l.close()
+	_ = c.cfg.Logger.Log("event", "control_lost", "control", l.at, "reason", reason, "error", err)
 }
--- /dev/null
+++ b/internal/roster/client_test.go
@@ -0,0 +1,67 @@
+package roster_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/roster"
+	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
+)
+
+// switchable is the declarations of a control VM whose leader can come and go.
+type switchable struct {
+	current atomic.Bool
+	version uint64
+}
+
+func (s *switchable) Held() (uint64, []byte) { return s.version, []byte("content") }
+func (s *switchable) Current() bool          { return s.current.Load() }
+
+func control(t *testing.T, version uint64, current bool) (*switchable, netip.AddrPort) {
+	d := &switchable{version: version}
+	d.current.Store(current)
+	mux := http.NewServeMux()
+	mux.Handle(pb.RosterPathPrefix, pb.NewRosterServer(roster.NewServer(roster.NewStore(time.Now()), d, time.Now)))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return d, server.Listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// silent is an address that accepts connections and never answers.
+func silent(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// A process must find the control VM that hears its leader although others are silent or cut off from the leader, and must
+// leave it when that changes: otherwise it would go on with an old declaration.
+func TestClientFindsACurrentControlVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	behind, behindAt := control(t, 3, false)
+	first, firstAt := control(t, 15, true)
+	var last roster.View
+	client := roster.NewClient(roster.ClientConfig{
+		Seeds: []netip.AddrPort{silent(t), behindAt, firstAt}, RPCPort: firstAt.Port(), Domain: "d",
+		Self: func() roster.Record { return agent(1, 0) }, Held: func() uint64 { return 0 },
+		Update: func(v roster.View) { last = v }, Logger: log.NewNopLogger(),
+	})
+	g.Eventually(func() bool { return client.Report(t.Context()) }, time.Minute, 10*time.Millisecond).Should(gomega.BeTrue())
+	g.Expect(last.Version).To(gomega.Equal(uint64(15)))
+	first.current.Store(false)
+	g.Expect(client.Report(t.Context())).To(gomega.BeFalse())
+	behind.current.Store(true)
+	g.Eventually(func() bool { return client.Report(t.Context()) && last.From == behindAt }, time.Minute, 10*time.Millisecond).
+		Should(gomega.BeTrue())
+}
