Bound searches: agents without an upstream, silent agents, and a budget for asking many

After all power was lost, VMs whose host had left came back with an agent and nobody to return packets; each search ended there, callers of lost flows heard nothing, and entries asked all 54 agents 1,000 times a second until they had no time for anything else. A roster that was growing when the control VM was lost then held up new flows for ever. Later, one agent that had died ended every search for 12 s. Ruled out: the group (a leader 0.5 s after the start), readiness (entries were in rotation). Change: an agent without an upstream says so, passes packets on and is left out of searches; one that has just started delivers and passes on, and no reset follows from that; silent agents are searched last; asking goes to 12, then 24 agents, within 400 packets a second; a growing roster delays new flows for 1.2 s at most.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -148,7 +148,7 @@
 	"no_upstream":      "no upstream took the flow; the caller got a reset, and nothing was run",
 	"held_nowhere":     "every upstream returned the packet: the one that held the flow has ended or was replaced",
 	"roster_unsettled": "the control VMs had just started and did not know every agent; the packet was dropped",
-	"ask_all":          "the agent that held the flow did not answer: its process or VM was down, frozen or cut off",
+	"ask_many":         "the agent that held the flow did not answer: its process or VM was down, frozen or cut off",
 	"search":           "an entry looked for the agent that holds the flow, after the fabric had moved it",
 	"passed_on":        "an upstream returned the packet and another agent was asked",
 	"placed_again":     "the first agent left the opening packet unanswered, and another one was chosen",
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -65,6 +65,8 @@
 		if u.Cold {
 			r.Warmup = last.Warmup
 		}
+	} else if a.machine.Vacant(a.now()) {
+		r.State = roster.StateVacant
 	}
 	if a.table != nil {
 		r.Version = a.table.Version
@@ -198,6 +200,10 @@
 	switch d.Verdict {
 	case passthrough.ToHost:
 		a.send(packet, a.cfg.Upstream)
+		if d.Also {
+			out = passthrough.AppendForward(out, d.Forward, packet)
+			a.send(out, d.Peer.AddrPort())
+		}
 	case passthrough.ToPeer:
 		a.cfg.Codec.Clean(packet)
 		a.logPeer(s, d)
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -65,7 +65,7 @@
 		e.settled = v.Settled
 		peers := roster.Peers(v.Records)
 		e.noteRoster(peers, v)
-		e.machine.SetRoster(newRoster(peers, v))
+		e.machine.SetRoster(e.now(), newRoster(peers, v))
 	}
 }
 
@@ -127,7 +127,7 @@
 		out = passthrough.AppendForward(out, d.Forward, b)
 		e.logPeer(s, d)
 		e.send(out, d.Peer.AddrPort())
-	case passthrough.ToAll:
+	case passthrough.ToSeveral:
 		e.logRefusal(s, d)
 		out = passthrough.AppendForward(out, d.Forward, b)
 		for _, peer := range d.Peers {
--- a/internal/forwarder/flowlog.go
+++ b/internal/forwarder/flowlog.go
@@ -19,7 +19,11 @@
 			"version", d.Forward.Version)
 		return
 	}
-	_ = l.cfg.Logger.Log("event", "flow_searched", "flow", s.Flow, "opens", s.Opens(), "reason", d.Reason, "agent", d.Peer,
+	logger := l.cfg.Logger
+	if d.Reason != passthrough.ReasonRetried {
+		logger = l.cfg.FlowLog // after an entry has changed, every flow is searched for once
+	}
+	_ = logger.Log("event", "flow_searched", "flow", s.Flow, "opens", s.Opens(), "reason", d.Reason, "agent", d.Peer,
 		"visited", len(d.Forward.Visited), "version", d.Forward.Version)
 }
 
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -4,6 +4,7 @@
 
 // Upstream is what an agent knows of the upstream process on its VM.
 type Upstream struct {
+	Present bool // it has announced itself and not ended
 	Service string
 	Active  bool // it takes new flows
 	Slots   uint32
@@ -17,6 +18,9 @@
 // closedMs is how long a flow is remembered after its upstream sent a FIN or RST, for the last acknowledgements.
 const closedMs = 2000
 
+// presumeMs is how long after its start an agent presumes an upstream that it has not heard: three of its announcements.
+const presumeMs = 2500
+
 // openHops bounds the agents that a packet which opens a flow is passed to. The caller repeats the packet after 200 ms,
 // and three hops take less than 30 ms.
 const openHops = 3
@@ -39,6 +43,7 @@
 	roster   *Roster
 	choice   chooser
 	upstream Upstream
+	ended    bool // the upstream that was present has ended, and no other one was heard
 	flows    map[Flow]*agentFlow
 	open     int // held flows that are not closing
 	busy     int // flows with an unanswered request
@@ -57,6 +62,7 @@
 
 // SetUpstream replaces what is known of the upstream. A new incarnation holds no flows.
 func (a *Agent) SetUpstream(u Upstream, restarted bool) {
+	a.ended = a.upstream.Present && !u.Present || a.ended && !u.Present
 	a.upstream = u
 	if restarted {
 		clear(a.flows)
@@ -67,6 +73,9 @@
 // Load returns the open flows and those with an unanswered request.
 func (a *Agent) Load() (flows, busy int) { return a.open, a.busy }
 
+// Vacant reports whether there is no upstream: it has ended, or the agent has not heard one for long enough since its start.
+func (a *Agent) Vacant(now int64) bool { return !a.upstream.Present && (a.ended || now >= presumeMs) }
+
 // accepts reports whether the upstream may take a new flow, by the newer of the two declarations.
 func (a *Agent) accepts(f Flow, h Forward) (bool, Reason) {
 	if !a.upstream.Active {
@@ -90,6 +99,9 @@
 			return a.passOpening(s, h, reason)
 		}
 	}
+	if a.Vacant(now) && (f == nil || !f.held) {
+		return a.passOn(s, h) // nobody would return the packet
+	}
 	if f == nil {
 		f = &agentFlow{}
 		a.flows[s.Flow] = f
@@ -102,7 +114,14 @@
 		f.busy = true
 		a.busy++
 	}
-	return Decision{Verdict: ToHost, Reason: ReasonKnown}
+	d := Decision{Verdict: ToHost, Reason: ReasonKnown}
+	if !a.upstream.Present && !s.Opens() && !f.held && !h.Only {
+		h.Unsure = true
+		next := a.passOn(s, h)
+		d.Also = next.Verdict == ToPeer
+		d.Peer, d.Forward = next.Peer, next.Forward
+	}
+	return d
 }
 
 // passOpening gives a packet that opens a flow to another agent.
@@ -208,10 +227,10 @@
 		route = a.table.Routes[s.Flow.Front]
 	}
 	if p := a.choice.next(a.roster, s.Flow, route, visited); p != nil {
-		next := Forward{Entry: h.Entry, Version: h.Version, Visited: visited}
+		next := Forward{Entry: h.Entry, Version: h.Version, Visited: visited, Unsure: h.Unsure}
 		return Decision{Verdict: ToPeer, Reason: ReasonNotMine, Peer: p.Tunnel, Forward: next}
 	}
-	if a.roster.Settled && len(visited) <= MaxVisited && !s.Rst {
+	if a.roster.Settled && !h.Unsure && len(visited) <= MaxVisited && !s.Rst {
 		return Decision{Verdict: SendReset, Reason: ReasonExhausted}
 	}
 	return Decision{Verdict: Drop, Reason: ReasonExhausted}
@@ -246,8 +265,3 @@
 		}
 	}
 }
-
-// Neighbours returns the tunnel addresses of all other agents.
-func (a *Agent) Neighbours() []Endpoint {
-	return slices.DeleteFunc(a.roster.tunnels(), func(e Endpoint) bool { return e == a.Self })
-}
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -60,25 +60,49 @@
 	return best
 }
 
-// next returns the peer to ask for an established flow after the visited ones, or nil. Peers of the route's services
-// come first: only a flow that was opened under an older declaration is elsewhere.
+// place is the position of a peer in the order of a search: agents that were heard lately come first, since one that does
+// not answer ends the search, and among them those of the route's services, since only a flow that was opened under an
+// older declaration is elsewhere.
+func place(p *Peer, route *Route) int {
+	at := 0
+	if p.AgeMs >= freshMs {
+		at += 2
+	}
+	if route == nil || !route.Allows(p.Service) {
+		at++
+	}
+	return at
+}
+
+// next returns the peer to ask for an established flow after the visited ones, or nil.
 func (c *chooser) next(r *Roster, f Flow, route *Route, visited []Endpoint) *Peer {
 	if len(visited) >= MaxVisited {
 		return nil
 	}
 	var best *Peer
 	var bestHash uint64
-	bestListed := false
+	bestPlace := 0
 	for i := range r.Peers {
 		p := &r.Peers[i]
 		if slices.Contains(visited, p.Tunnel) {
 			continue
 		}
-		listed := route != nil && route.Allows(p.Service)
-		hash := rankHash(f, p.Tunnel)
-		if best == nil || listed && !bestListed || listed == bestListed && hash > bestHash {
-			best, bestHash, bestListed = p, hash, listed
+		at, hash := place(p, route), rankHash(f, p.Tunnel)
+		if best == nil || at < bestPlace || at == bestPlace && hash > bestHash {
+			best, bestHash, bestPlace = p, hash, at
 		}
 	}
 	return best
 }
+
+// order returns all agents in the order in which next visits them.
+func (c *chooser) order(r *Roster, f Flow, route *Route) []Endpoint {
+	out := make([]Endpoint, 0, len(r.Peers))
+	for at := range 4 {
+		c.buf = r.rank(f, c.buf, func(p *Peer) bool { return place(p, route) == at })
+		for _, k := range c.buf {
+			out = append(out, k.peer.Tunnel)
+		}
+	}
+	return out
+}
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -1,7 +1,5 @@
 package passthrough
 
-import "slices"
-
 // Verdict says what is to be done with a packet.
 type Verdict uint8
 
@@ -12,7 +10,7 @@
 	ToCaller                 // to the caller as it is
 	ToHost                   // to the upstream on this VM
 	SendReset                // a reset of the flow is sent to the caller
-	ToAll                    // to every agent in Decision.Peers with Decision.Forward
+	ToSeveral                // to every agent in Decision.Peers with Decision.Forward
 )
 
 // Reason says why, for logs and counters.
@@ -24,7 +22,7 @@
 	ReasonRetried   Reason = "placed_again"
 	ReasonKnown     Reason = "known"
 	ReasonSearch    Reason = "search"
-	ReasonAskAll    Reason = "ask_all"
+	ReasonAskMany   Reason = "ask_many"
 	ReasonNoRoute   Reason = "no_route"
 	ReasonNoTable   Reason = "no_declaration"
 	ReasonNoPeer    Reason = "no_upstream"
@@ -41,6 +39,7 @@
 	Reason  Reason
 	Peer    Endpoint
 	Peers   []Endpoint
+	Also    bool // besides ToHost, the packet goes to Peer: it is not known whether there is a host
 	Forward Forward
 	Hint    *Holds   // to be sent to HintTo
 	Misses  bool     // HintTo is told that the flow is not here
@@ -71,15 +70,26 @@
 	// forgetSlackMs is added to the idle timeout before a flow is forgotten, for retransmissions under way (up to 1.6 s
 	// apart) and late clocks.
 	forgetSlackMs = 5000
-	// askAllMs is how long a search from agent to agent may take before every agent is asked at once: one agent that does
+	// askMs is how long a search from agent to agent may take before several agents are asked at once: one agent that does
 	// not answer ends such a search. Callers repeat packets after 200 ms, and a search takes less than 100 ms.
-	askAllMs = 150
+	askMs = 150
+	// growingMs is how long a roster that is still growing delays new flows if no newer one arrives.
+	growingMs = 1200
 	// searchMs is how long a search is remembered: longer than the longest pause of a caller between repeats (1.6 s).
 	searchMs = 5000
 	// DefaultIdleMs is the idle timeout without a declaration.
 	DefaultIdleMs = 15000
 )
 
+// Bounds of asking several agents at once.
+const (
+	// firstAsk is how many agents the first question goes to. A flow is placed on one of the candidates highest-ranked
+	// active agents, and few are added or return during its life. Each further question goes to twice as many others.
+	firstAsk = 12
+	// askRate is the budget of an entry for such packets in a second: a twentieth of what 0.06 of a core can send.
+	askRate = 400
+)
+
 // maxEntryFlows bounds the flows that an entry remembers: 100,000 need about 10 MB.
 const maxEntryFlows = 100_000
 
@@ -94,7 +104,9 @@
 // search is a flow whose holder is being looked for.
 type search struct {
 	startMs int64
-	askedMs int64 // when every agent was asked last
+	askedMs int64 // when agents were asked last
+	next    int   // rank of the first agent that was not asked yet
+	batch   int   // how many are asked next
 }
 
 // Entry places new flows and sends packets of established ones towards their upstreams. It is used by one goroutine.
@@ -108,6 +120,10 @@
 	search  map[Flow]search
 	suspect map[Endpoint]int64 // until when, ms
 	placed  map[Endpoint]float64
+
+	rosterMs int64   // when the roster arrived
+	asks     float64 // packets that may be sent to ask several agents
+	asksMs   int64   // when asks was renewed
 }
 
 // NewEntry returns an entry in a failure domain.
@@ -115,7 +131,7 @@
 	return &Entry{
 		Self: self, roster: NewRoster(nil, false), choice: chooser{domain: domain},
 		flows: map[Flow]entryFlow{}, tried: map[Flow][]Endpoint{}, search: map[Flow]search{},
-		suspect: map[Endpoint]int64{}, placed: map[Endpoint]float64{},
+		suspect: map[Endpoint]int64{}, placed: map[Endpoint]float64{}, asks: askRate,
 	}
 }
 
@@ -123,8 +139,8 @@
 func (e *Entry) SetTable(t *Table) { e.table = t }
 
 // SetRoster replaces the roster. Its loads include what was placed before.
-func (e *Entry) SetRoster(r *Roster) {
-	e.roster = r
+func (e *Entry) SetRoster(now int64, r *Roster) {
+	e.roster, e.rosterMs = r, now
 	clear(e.placed)
 }
 
@@ -155,27 +171,48 @@
 	return e.find(now, s, route)
 }
 
-// find looks for the holder of a flow: first from agent to agent, which costs one packet of the entry, and then, if no
-// agent has answered, by asking all of them.
+// find looks for the holder of a flow: first from agent to agent, which costs one packet of the entry, and then, while no
+// agent has answered, by asking more and more of them at once.
 func (e *Entry) find(now int64, s Segment, route *Route) Decision {
 	looked, again := e.search[s.Flow]
-	if again && now-looked.startMs >= askAllMs && now-looked.askedMs >= askAllMs {
-		looked.askedMs = now
-		e.search[s.Flow] = looked
-		d := e.forward(Endpoint{}, ReasonAskAll, "", nil)
-		d.Verdict, d.Peers, d.Forward.Only = ToAll, e.roster.tunnels(), true
-		return d
+	if again && now-looked.startMs >= askMs && now-looked.askedMs >= askMs {
+		if peers := e.ask(now, s.Flow, route, &looked); len(peers) > 0 {
+			e.search[s.Flow] = looked
+			d := e.forward(Endpoint{}, ReasonAskMany, "", nil)
+			d.Verdict, d.Peers, d.Forward.Only = ToSeveral, peers, true
+			return d
+		}
 	}
 	p := e.choice.next(e.roster, s.Flow, route, nil)
 	if p == nil {
 		return Decision{Verdict: Drop, Reason: ReasonNoPeer}
 	}
 	if !again && len(e.search) < maxEntryFlows {
-		e.search[s.Flow] = search{startMs: now, askedMs: now}
+		e.search[s.Flow] = search{startMs: now, askedMs: now, batch: firstAsk}
 	}
 	return e.forward(p.Tunnel, ReasonSearch, "", nil)
 }
 
+// ask returns the agents to ask next for a flow, as far as the budget allows, and moves the search on. After the last
+// agent it begins again with the first.
+func (e *Entry) ask(now int64, f Flow, route *Route, looked *search) []Endpoint {
+	e.asks = min(askRate, e.asks+float64(now-e.asksMs)*askRate/1000)
+	e.asksMs = now
+	order := e.choice.order(e.roster, f, route)
+	if looked.next >= len(order) {
+		looked.next, looked.batch = 0, firstAsk
+	}
+	peers := order[looked.next:min(looked.next+looked.batch, len(order))]
+	if float64(len(peers)) > e.asks {
+		return nil
+	}
+	e.asks -= float64(len(peers))
+	looked.askedMs = now
+	looked.next += len(peers)
+	looked.batch *= 2
+	return peers
+}
+
 func (e *Entry) forward(peer Endpoint, reason Reason, service string, visited []Endpoint) Decision {
 	h := Forward{Entry: e.Self, Version: e.table.Version, Visited: visited}
 	if service != "" {
@@ -190,7 +227,7 @@
 	if route == nil {
 		return Decision{Verdict: SendReset, Reason: ReasonNoRoute}
 	}
-	if !e.roster.Quiet {
+	if !e.roster.Quiet && now-e.rosterMs < growingMs {
 		return Decision{Verdict: Drop, Reason: ReasonUnsettled} // the caller repeats the packet after 200 ms
 	}
 	service := route.pick(s.Flow)
@@ -264,7 +301,7 @@
 	}
 	delete(e.flows, f)
 	if _, ok := e.search[f]; !ok && len(e.search) < maxEntryFlows {
-		e.search[f] = search{startMs: now, askedMs: now}
+		e.search[f] = search{startMs: now, askedMs: now, batch: firstAsk}
 	}
 }
 
@@ -294,13 +331,3 @@
 		}
 	}
 }
-
-// tunnels returns the tunnel addresses of all peers.
-func (r *Roster) tunnels() []Endpoint {
-	out := make([]Endpoint, 0, len(r.Peers))
-	for _, p := range r.Peers {
-		out = append(out, p.Tunnel)
-	}
-	slices.SortFunc(out, func(a, b Endpoint) int { return slices.Compare(a.IP[:], b.IP[:]) })
-	return out
-}
--- a/internal/passthrough/header.go
+++ b/internal/passthrough/header.go
@@ -23,7 +23,8 @@
 	Entry   Endpoint // tunnel address of the entry that received the packet
 	Version uint64   // declaration by which the entry chose the service
 	Service uint32   // ServiceTag of the chosen service; only for packets that open a flow
-	Only    bool     // the packet was sent to every agent; none passes it on
+	Only    bool     // the packet was sent to several agents at once; none passes it on
+	Unsure  bool     // a visited agent could not tell whether its upstream holds the flow
 	Visited []Endpoint
 }
 
@@ -41,6 +42,12 @@
 	Busy  uint16
 }
 
+// Flags of a Forward.
+const (
+	flagOnly   = 1
+	flagUnsure = 2
+)
+
 const (
 	forwardFixed = 2 + 6 + 8 + 4 + 1 + 1
 	endpointSize = 6
@@ -78,7 +85,10 @@
 	binary.BigEndian.PutUint64(fixed[8:], h.Version)
 	binary.BigEndian.PutUint32(fixed[16:], h.Service)
 	if h.Only {
-		fixed[20] = 1
+		fixed[20] |= flagOnly
+	}
+	if h.Unsure {
+		fixed[20] |= flagUnsure
 	}
 	fixed[21] = byte(len(h.Visited))
 	buf = append(buf, fixed[:]...)
@@ -158,14 +168,15 @@
 		return Datagram{}, ErrMalformed
 	}
 	n := int(b[21])
-	if b[20] > 1 || n > MaxVisited || len(b) < forwardFixed+n*endpointSize {
+	if b[20] > flagOnly|flagUnsure || n > MaxVisited || len(b) < forwardFixed+n*endpointSize {
 		return Datagram{}, ErrMalformed
 	}
 	h := &Forward{
 		Entry:   getEndpoint(b[2:]),
 		Version: binary.BigEndian.Uint64(b[8:]),
 		Service: binary.BigEndian.Uint32(b[16:]),
-		Only:    b[20] == 1,
+		Only:    b[20]&flagOnly != 0,
+		Unsure:  b[20]&flagUnsure != 0,
 	}
 	rest := b[forwardFixed:]
 	for range n {
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -27,9 +27,10 @@
 
 // States of an upstream.
 const (
-	StateNone     State = 0 // no upstream is known
+	StateNone     State = 0 // no upstream has been heard yet
 	StateActive   State = 1
 	StateDraining State = 2
+	StateVacant   State = 3 // there is no upstream, or it has ended
 )
 
 // Record describes one process. It is identified by Kind and Address.
@@ -87,11 +88,12 @@
 	}
 }
 
-// Peers returns the agents among the records as the forwarding machines use them.
+// Peers returns the agents among the records as the forwarding machines use them. Agents without an upstream hold no
+// flows and are left out.
 func Peers(records []Record) []passthrough.Peer {
 	var out []passthrough.Peer
 	for _, r := range records {
-		if r.Kind != KindAgent || r.Leaving && r.State == StateNone {
+		if r.Kind != KindAgent || r.State == StateVacant {
 			continue
 		}
 		out = append(out, passthrough.Peer{
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -70,7 +70,7 @@
 	out := make([]Record, 0, len(s.records))
 	for k, v := range s.records {
 		age := now.Sub(v.heard)
-		if age > expiry || v.record.Leaving && v.record.State == StateNone && age > leavingExpiry {
+		if age > expiry || v.record.Leaving && v.record.State == StateVacant && age > leavingExpiry {
 			delete(s.records, k)
 			continue
 		}
--- a/soak/process.go
+++ b/soak/process.go
@@ -40,7 +40,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	command := exec.Command(p.daemon, "--platform")
-	command.Env = append(os.Environ(), "PLANTAINSEAM_NODE_FILE="+p.machine.Settings)
+	command.Env = append(os.Environ(), standin.SettingsVariable+"="+p.machine.Settings)
 	command.Stdout, command.Stderr = p.log, p.log
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.machine.Name, err)
