--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -34,7 +34,7 @@
 	Silence   time.Duration
 	Read      func(content []byte) (*passthrough.Table, error)
 	Logger    log.Logger
-	Incarnate uint64
+	Seed      uint64 // for election timeouts
 }
 
 // Authority is the role.
@@ -43,7 +43,6 @@
 	machine *declared.Machine
 	group   *group.Group
 	store   *roster.Store
-	leaving bool
 }
 
 // New returns an authority that is started by Run.
@@ -55,7 +54,7 @@
 	a.group = group.New(group.Config{
 		Name: cfg.Name, Self: cfg.Self, DataDir: cfg.DataDir, Founder: cfg.Founder, Seeds: cfg.Seeds,
 		Tolerated: cfg.Tolerated, Silence: cfg.Silence, Machine: a.machine, Controls: a.controls, Logger: cfg.Logger,
-		Incarnate: cfg.Incarnate,
+		Seed: cfg.Seed,
 	})
 	return a
 }
@@ -93,7 +92,6 @@
 	version, _ := a.machine.Held()
 	return roster.Record{
 		Kind: roster.KindControl, Address: a.cfg.Self.Addr(), FailureDomain: a.cfg.Domain, Version: version,
-		Incarnation: a.cfg.Incarnate, Leaving: a.leaving,
 	}
 }
 
@@ -171,7 +169,7 @@
 		return err
 	}
 	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: time.Second}
-	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.partners, Logger: a.cfg.Logger}
+	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.partners}
 	go exchange.Run(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -55,7 +55,7 @@
 	r := roster.Record{
 		Kind: roster.KindAgent, Address: a.cfg.Tunnel.Addr(), TunnelPort: a.cfg.Tunnel.Port(), FailureDomain: a.cfg.Domain,
 		Service: u.Service, Slots: u.Slots, Flows: uint32(max(flows, 0)), Busy: uint32(max(busy, 0)),
-		Incarnation: a.cfg.Incarnate, Leaving: a.leaving,
+		Leaving: a.leaving,
 	}
 	if last, ok := a.tracker.Last(); ok {
 		r.State = roster.StateActive
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -30,16 +30,15 @@
 
 // Config holds what entries and agents need.
 type Config struct {
-	Name      string
-	Domain    string // failure domain
-	Tunnel    netip.AddrPort
-	Seeds     []netip.AddrPort // RPC addresses of control VMs
-	RPCPort   uint16
-	Codec     Codec
-	Read      Declarations
-	Logger    log.Logger
-	FlowLog   log.Logger // lines about flows that go well
-	Incarnate uint64
+	Name    string
+	Domain  string // failure domain
+	Tunnel  netip.AddrPort
+	Seeds   []netip.AddrPort // RPC addresses of control VMs
+	RPCPort uint16
+	Codec   Codec
+	Read    Declarations
+	Logger  log.Logger
+	FlowLog log.Logger // lines about flows that go well
 
 	// Agents only.
 	Outbound        netip.AddrPort // where the upstream sends its packets
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -45,7 +45,7 @@
 	defer e.mu.Unlock()
 	r := roster.Record{
 		Kind: roster.KindEntry, Address: e.cfg.Tunnel.Addr(), TunnelPort: e.cfg.Tunnel.Port(), FailureDomain: e.cfg.Domain,
-		Flows: uint32(e.machine.Flows()), Incarnation: e.cfg.Incarnate, Leaving: e.leaving,
+		Flows: uint32(e.machine.Flows()), Leaving: e.leaving,
 	}
 	if e.table != nil {
 		r.Version = e.table.Version
@@ -167,8 +167,6 @@
 		e.machine.Holds(e.now(), passthrough.EndpointOf(from), *d.Holds)
 	case d.Misses != nil:
 		e.machine.Misses(e.now(), passthrough.EndpointOf(from), *d.Misses)
-	case d.Away:
-		e.machine.Away(e.now(), passthrough.EndpointOf(from))
 	}
 }
 
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -66,7 +66,7 @@
 	Machine   consensus.StateMachine
 	Controls  func() []netip.AddrPort // RPC addresses of control VMs that are known to live
 	Logger    log.Logger
-	Incarnate uint64
+	Seed      uint64 // for election timeouts
 }
 
 // Group is a member of the group of control VMs.
@@ -145,7 +145,7 @@
 	n, err := node.Start(node.Config{
 		Log: logName,
 		Consensus: consensus.Config{
-			ID: directory.Identity().ID, Seed: g.cfg.Incarnate,
+			ID: directory.Identity().ID, Seed: g.cfg.Seed,
 			MaxCommandBytes: maxCommandBytes, MaxMessageBytes: maxMessageBytes, MaxInflightBytes: 2 * maxMessageBytes,
 			RetainEntries: retainEntries,
 		},
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -169,7 +169,7 @@
 	if f.held && !f.closing && f.entry != (Endpoint{}) && f.told != f.entry {
 		f.told = f.entry
 		d.HintTo = f.entry
-		d.Hint = &Holds{Flow: s.Flow, Flows: uint16(min(a.open, 0xffff)), Busy: uint16(min(a.busy, 0xffff))}
+		d.Hint = &Holds{Flow: s.Flow, Flows: uint16(min(a.open, 0xffff))}
 	}
 	return d
 }
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -305,9 +305,6 @@
 	}
 }
 
-// Away processes the word of an agent that it will not answer for a while.
-func (e *Entry) Away(now int64, from Endpoint) { e.suspect[from] = now + suspectMs }
-
 // Expire forgets idle flows. It is to be called about once a second.
 func (e *Entry) Expire(now int64) {
 	idle := int64(DefaultIdleMs)
--- a/internal/passthrough/header.go
+++ b/internal/passthrough/header.go
@@ -11,8 +11,7 @@
 	magic       = 0xB7
 	kindForward = 1 // a caller's packet follows the header
 	kindHolds   = 2 // the sender's upstream answered a packet of the flow
-	kindAway    = 3 // the sender is about to restart or leave
-	kindMisses  = 4 // the sender's upstream returned a packet of the flow
+	kindMisses  = 3 // the sender's upstream returned a packet of the flow
 )
 
 // MaxVisited bounds the agents that one packet visits. A full search of the largest service of today needs 42.
@@ -35,11 +34,10 @@
 	return h.Sum32()
 }
 
-// Holds tells an entry which agent has the upstream of a flow, and the load there.
+// Holds tells an entry which agent has the upstream of a flow, and how many flows that holds.
 type Holds struct {
 	Flow  Flow
 	Flows uint16
-	Busy  uint16
 }
 
 // Flags of a Forward.
@@ -52,7 +50,7 @@
 	forwardFixed = 2 + 6 + 8 + 4 + 1 + 1
 	endpointSize = 6
 	flowSize     = 12
-	holdsSize    = 2 + flowSize + 4
+	holdsSize    = 2 + flowSize + 2
 	missesSize   = 2 + flowSize
 )
 
@@ -106,7 +104,6 @@
 	b[0], b[1] = magic, kindHolds
 	putFlow(b[2:], h.Flow)
 	binary.BigEndian.PutUint16(b[14:], h.Flows)
-	binary.BigEndian.PutUint16(b[16:], h.Busy)
 	return append(buf, b[:]...)
 }
 
@@ -118,15 +115,11 @@
 	return append(buf, b[:]...)
 }
 
-// AppendAway appends the datagram to buf.
-func AppendAway(buf []byte) []byte { return append(buf, magic, kindAway) }
-
-// Datagram is a decoded datagram between nodes. Exactly one of the pointers is set, or Away.
+// Datagram is a decoded datagram between nodes. Exactly one of the pointers is set.
 type Datagram struct {
 	Forward *Forward
 	Holds   *Holds
-	Misses  *Flow // the sender's upstream does not hold the flow
-	Away    bool
+	Misses  *Flow  // the sender's upstream does not hold the flow
 	Packet  []byte // of a Forward; refers to the input
 }
 
@@ -149,7 +142,6 @@
 		return Datagram{Holds: &Holds{
 			Flow:  getFlow(b[2:]),
 			Flows: binary.BigEndian.Uint16(b[14:]),
-			Busy:  binary.BigEndian.Uint16(b[16:]),
 		}}, nil
 	case kindMisses:
 		if len(b) != missesSize {
@@ -157,8 +149,6 @@
 		}
 		f := getFlow(b[2:])
 		return Datagram{Misses: &f}, nil
-	case kindAway:
-		return Datagram{Away: true}, nil
 	}
 	return Datagram{}, ErrMalformed
 }
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -7,20 +7,16 @@
 	"net/netip"
 	"time"
 
-	"github.com/go-kit/log"
-
 	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
 
 // Exchanger exchanges records with the other control VMs, one after the other.
 type Exchanger struct {
-	Store  *Store
-	Self   func() Record
-	Peers  func() []netip.AddrPort // RPC addresses of the other control VMs
-	Logger log.Logger
+	Store *Store
+	Self  func() Record
+	Peers func() []netip.AddrPort // RPC addresses of the other control VMs
 
 	clients map[netip.AddrPort]pb.Roster
-	failing map[netip.AddrPort]bool
 }
 
 // exchangePeriod is the time in which each other control VM is asked once.
@@ -29,7 +25,6 @@
 // Run exchanges until ctx is done.
 func (e *Exchanger) Run(ctx context.Context) {
 	e.clients = map[netip.AddrPort]pb.Roster{}
-	e.failing = map[netip.AddrPort]bool{}
 	ticker := time.NewTicker(exchangePeriod)
 	defer ticker.Stop()
 	for {
--- a/soak/main.go
+++ b/soak/main.go
@@ -19,7 +19,7 @@
 	Cores   int     `long:"cores" default:"5" description:"control processes"`
 	Callers int     `long:"callers" default:"6" description:"callers; each keeps two flows open"`
 	Loss    float64 `long:"loss" default:"0.002" description:"share of callers' packets that get lost"`
-	Network byte    `long:"network" default:"40" description:"second byte of the loopback addresses"`
+	Network byte    `long:"network" default:"90" description:"second byte of the loopback addresses"`
 	Daemon  string  `long:"daemon" default:"target/plantainseamd" description:"program to run"`
 	Keep    string  `long:"keep" description:"folder that keeps logs and the time line after a violation"`
 }
