--- a/internal/tunnel/reset.go
+++ b/internal/tunnel/reset.go
@@ -49,7 +49,7 @@
 		if !ip.IsValid(len(packet)) {
 			return src, dst, nil, fmt.Errorf("packet of %d bytes is no IPv6 packet", len(packet))
 		}
-		src, dst, protocol, segment = ip.SourceAddress(), ip.DestinationAddress(), ip.TransportProtocol(), ip.Payload()
+		src, dst, protocol, segment = ip.SourceAddress(), ip.DestinationAddress(), tcpip.TransportProtocolNumber(ip.NextHeader()), ip.Payload()
 	} else {
 		ip := header.IPv4(packet)
 		if !ip.IsValid(len(packet)) {
