--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -382,7 +382,7 @@
 	g.Expect(n.entries[0].Packet(growingMs, open(1)).Verdict).To(gomega.Equal(ToPeer))
 }
 
-// Load must be spread evenly at steady state: the brief's target is a peak of 1.10 of the mean.
+// Load must be spread evenly at steady state: the target of docs/design.md is a peak of 1.10 of the mean.
 func TestBalance(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := newNetwork(5, 7)
