--- a/internal/consensus/store/load.go
+++ b/internal/consensus/store/load.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainseam/plantainseam/internal/consensus"
 	"github.com/plantainseam/plantainseam/internal/consensus/wire"
+	"github.com/plantainseam/plantainseam/internal/durable"
 	"github.com/plantainseam/plantainseam/internal/result"
 	pb "github.com/plantainseam/plantainseam/rpc/consensuspb"
 )
@@ -49,7 +50,7 @@
 	}
 	for _, f := range files {
 		name := f.Name()
-		if strings.HasSuffix(name, temporary) {
+		if strings.HasSuffix(name, durable.Temporary) {
 			removeFiles([]string{filepath.Join(l.path, name)})
 			continue
 		}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -18,6 +18,7 @@
 	"github.com/plantainseam/plantainseam/internal/consensus"
 	"github.com/plantainseam/plantainseam/internal/consensus/node"
 	"github.com/plantainseam/plantainseam/internal/consensus/store"
+	"github.com/plantainseam/plantainseam/internal/durable"
 	"github.com/plantainseam/plantainseam/internal/result"
 	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
@@ -184,8 +185,8 @@
 		if _, err := store.Create(path, g.cfg.Name, logName); err != nil {
 			return nil, false, fmt.Errorf("create data directory: %w", err)
 		}
-		if err := syncFolder(g.cfg.DataDir); err != nil {
-			return nil, false, err
+		if err := durable.SyncDirectory(g.cfg.DataDir); err != nil {
+			return nil, false, result.Errorf(result.StoreWriteFailed, "sync %s: %w", g.cfg.DataDir, err)
 		}
 	}
 	directory, err := store.Open(path, "")
@@ -213,15 +214,7 @@
 	if renameErr := os.Rename(g.directory(), aside); renameErr != nil {
 		return errors.Join(err, renameErr)
 	}
-	return errors.Join(err, syncFolder(g.cfg.DataDir))
-}
-
-func syncFolder(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return result.Errorf(result.StoreWriteFailed, "open %s: %w", path, err)
-	}
-	return errors.Join(f.Sync(), f.Close())
+	return errors.Join(err, durable.SyncDirectory(g.cfg.DataDir))
 }
 
 func isBlank(d *store.Directory) (bool, error) {
@@ -259,6 +252,15 @@
 	return err == nil && n.Status().Leader != ""
 }
 
+// Quorum returns how many members form a majority, or 0 while that is not known.
+func (g *Group) Quorum() int {
+	status, ok := g.Status()
+	if !ok || status.Membership.Voters() == 0 {
+		return 0
+	}
+	return status.Membership.Quorum()
+}
+
 // Read returns when the state machine includes everything that was committed before the call.
 func (g *Group) Read(ctx context.Context) error {
 	n, err := g.running()
