Send packets that arrive before the first roster as soon as they can be decided

Entries are back at 34.9 to 35.1 s, have a declaration at 35.4 s and most agents at 35.5 s, but the first new flow is placed at 36.2 s: the next report is 400 ms later, and callers repeat opening packets after 200 and 600 ms only, others up to 1.6 s apart. 1183 tries ran into their time limit. Ruled out: the election (leader at 35.30 s, 110 ms after the third control VM), upstreams (all announced by 35.16 s). Change: an unsettled roster is asked for every 100 ms; entries keep the last packet of each undecided flow, up to 0.5 MB, and send it when the roster allows; packets of established flows once more after 200 ms.

--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -21,6 +21,8 @@
 	machine *passthrough.Entry
 	conn    *net.UDPConn
 	counts  *counters
+	waiting *waiting // guarded by mu; nil once the roster is settled
+	later   func(time.Duration, func())
 }
 
 // NewEntry opens the socket of an entry.
@@ -32,6 +34,8 @@
 	e := &Entry{
 		link: newLink(cfg), conn: conns[0], counts: newCounters(),
 		machine: passthrough.NewEntry(passthrough.EndpointOf(cfg.Tunnel), cfg.Domain),
+		waiting: newWaiting(),
+		later:   func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 	}
 	e.client = roster.NewClient(roster.ClientConfig{
 		Seeds: cfg.Seeds, RPCPort: cfg.RPCPort, Domain: cfg.Domain, Logger: cfg.Logger,
@@ -56,7 +60,6 @@
 func (e *Entry) update(v roster.View) {
 	t := e.adopt(v)
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	if t != nil {
 		e.machine.SetTable(t)
 	}
@@ -67,6 +70,52 @@
 		e.noteRoster(peers, v)
 		e.machine.SetRoster(e.now(), newRoster(peers, v))
 	}
+	due := e.due(v)
+	e.mu.Unlock()
+	e.replay(due)
+}
+
+// due returns the waiting packets that can be decided about now. The caller holds mu.
+func (e *Entry) due(v roster.View) []waitingPacket {
+	if e.waiting == nil || e.table == nil {
+		return nil
+	}
+	var out []waitingPacket
+	if v.Settled || v.Quiet {
+		out = e.waiting.takeOpening(e.now())
+	}
+	if e.settled {
+		rest := e.waiting
+		e.waiting = nil
+		out = append(out, rest.established(e.now())...)
+		e.later(repeatMs*time.Millisecond, func() { e.repeat(rest) })
+	}
+	return out
+}
+
+// repeat sends the packets of established flows whose holders are still not known a second time.
+func (e *Entry) repeat(rest *waiting) {
+	e.mu.Lock()
+	var due []waitingPacket
+	for _, p := range rest.established(e.now()) {
+		if !e.machine.Knows(p.segment.Flow) {
+			due = append(due, p)
+		}
+	}
+	e.mu.Unlock()
+	e.replay(due)
+}
+
+// replay decides about waiting packets.
+func (e *Entry) replay(due []waitingPacket) {
+	if len(due) == 0 {
+		return
+	}
+	_ = e.cfg.Logger.Log("event", "waiting_packets_sent", "packets", len(due))
+	out := make([]byte, 0, 2*maxDatagram)
+	for _, p := range due {
+		out = e.forward(p.segment, p.content, out[:0])
+	}
 }
 
 // Ready reports whether the entry may receive callers' packets.
@@ -118,8 +167,16 @@
 		e.counts.add("malformed")
 		return out
 	}
+	return e.forward(s, b, out)
+}
+
+// forward decides about a packet of a caller and carries the decision out.
+func (e *Entry) forward(s passthrough.Segment, b, out []byte) []byte {
 	e.mu.Lock()
 	d := e.machine.Packet(e.now(), s)
+	if e.waiting != nil && waits(d, e.settled) {
+		e.waiting.keep(e.now(), s, b)
+	}
 	e.mu.Unlock()
 	e.counts.decision(d)
 	switch d.Verdict {
@@ -165,6 +222,9 @@
 	switch {
 	case d.Holds != nil:
 		e.machine.Holds(e.now(), passthrough.EndpointOf(from), *d.Holds)
+		if e.waiting != nil {
+			e.waiting.forget(d.Holds.Flow)
+		}
 	case d.Misses != nil:
 		e.machine.Misses(e.now(), passthrough.EndpointOf(from), *d.Misses)
 	}
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -148,6 +148,9 @@
 // Flows returns the number of remembered flows.
 func (e *Entry) Flows() int { return len(e.flows) }
 
+// Knows reports whether an agent told that its upstream holds the flow.
+func (e *Entry) Knows(f Flow) bool { return e.flows[f].held }
+
 // Packet decides about a packet of a caller.
 func (e *Entry) Packet(now int64, s Segment) Decision {
 	if e.table == nil {
--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -54,6 +54,7 @@
 	last     []Record         // of the last settled roster
 	lastAt   time.Time        // when it arrived
 	teach    bool             // the control VM in use has just started
+	settled  bool             // the last answer was complete
 }
 
 // NewClient returns a client.
@@ -108,17 +109,32 @@
 		case <-timer.C:
 		case <-c.wake:
 		}
-		wait := Interval
-		if !c.Report(ctx) || c.cfg.Held() == 0 {
-			wait = retryInterval
-		}
-		timer.Reset(wait)
+		reached := c.Report(ctx)
+		timer.Reset(c.pause(reached))
 	}
 }
 
 // retryInterval is the pause before control VMs are asked again, while none is in use or there is no declaration yet.
 const retryInterval = 50 * time.Millisecond
 
+// unsettledInterval is the time between two reports while the roster is not settled. New flows and resets wait for that,
+// and at a quarter of Interval the news is at most 100 ms old.
+const unsettledInterval = Interval / 4
+
+// pause returns the time until the next report.
+func (c *Client) pause(reached bool) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !reached || c.cfg.Held() == 0:
+		return retryInterval
+	case !c.settled:
+		return unsettledInterval
+	default:
+		return Interval
+	}
+}
+
 // Report makes one call and reports whether it reached a control VM that hears its leader. Without a control VM in use, it
 // asks all that are known at once: some of them may be down, and each of those would cost a whole timeout.
 func (c *Client) Report(ctx context.Context) bool {
@@ -264,6 +280,7 @@
 		return a.Address.Less(b.Address)
 	})
 	c.mu.Lock()
+	c.settled = v.Settled
 	c.teach = !v.Settled && len(c.last) > 0
 	if v.Settled {
 		c.last, c.lastAt = v.Records, time.Now()
