Settle a roster as soon as every remembered agent has reported

Cause: after a loss of all power resets of lost flows come 1.2 s after the control VMs start, because no process knows who else lives. Callers' requests on lost flows wait for that, most of them in vain. Ruled out: asking agents directly (an entry that has just started knows none). Change: control VMs keep the list of agents, with the start of each upstream, in a file; a roster is settled once all agents in the lists of a majority have reported. Agents that were vacant before, and draining ones when every other upstream has started anew, are not waited for nor searched. Without lists the 1.2 s stay.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -47,7 +47,8 @@
 
 // New returns an authority that is started by Run.
 func New(cfg Config) *Authority {
-	a := &Authority{cfg: cfg, store: roster.NewStore(time.Now())}
+	a := &Authority{cfg: cfg}
+	a.store = roster.NewStore(time.Now(), func() int { return a.group.Quorum() })
 	a.machine = declared.New(func(version uint64) {
 		_ = cfg.Logger.Log("event", "declaration_applied", "version", version)
 	})
@@ -173,6 +174,9 @@
 		return err
 	}
 	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: time.Second}
+	memory := &roster.Memory{Directory: a.cfg.DataDir, Store: a.store, Self: a.cfg.Self.Addr(), Logger: a.cfg.Logger}
+	memory.Load()
+	go memory.Run(ctx)
 	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.partners}
 	go exchange.Run(ctx)
 	done := make(chan struct{})
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -58,7 +58,7 @@
 		Leaving: a.leaving,
 	}
 	if last, ok := a.tracker.Last(); ok {
-		r.State = roster.StateActive
+		r.State, r.Incarnation = roster.StateActive, last.Incarnation()
 		if !u.Active {
 			r.State = roster.StateDraining
 		}
--- a/internal/roster/client_test.go
+++ b/internal/roster/client_test.go
@@ -29,7 +29,7 @@
 	d := &switchable{version: version}
 	d.current.Store(current)
 	mux := http.NewServeMux()
-	mux.Handle(pb.RosterPathPrefix, pb.NewRosterServer(roster.NewServer(roster.NewStore(time.Now()), d, time.Now)))
+	mux.Handle(pb.RosterPathPrefix, pb.NewRosterServer(roster.NewServer(roster.NewStore(time.Now(), noQuorum), d, time.Now)))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	return d, server.Listener.Addr().(*net.TCPAddr).AddrPort()
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -25,17 +25,23 @@
 // Run exchanges until ctx is done.
 func (e *Exchanger) Run(ctx context.Context) {
 	e.clients = map[netip.AddrPort]pb.Roster{}
-	ticker := time.NewTicker(exchangePeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		e.Store.Put(time.Now(), e.Self())
-		for _, peer := range e.Peers() {
-			go e.exchange(ctx, peer, e.client(peer))
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+		}
+		now := time.Now()
+		e.Store.Put(now, e.Self())
+		for _, peer := range e.Peers() {
+			go e.exchange(ctx, peer, e.client(peer))
+		}
+		if e.Store.Settled(now) {
+			timer.Reset(exchangePeriod)
+		} else {
+			timer.Reset(unsettledInterval)
 		}
 	}
 }
@@ -57,12 +63,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	now := time.Now()
-	response, err := client.Exchange(ctx, &pb.ExchangeRequest{Records: wireRecords(e.Store.List(now))})
+	response, err := client.Exchange(ctx, &pb.ExchangeRequest{
+		Records: wireRecords(e.Store.List(now)), Remembered: e.Store.ownList(now),
+	})
 	if err != nil {
 		return
 	}
-	now = time.Now()
-	for _, m := range response.GetRecords() {
-		e.Store.Put(now, FromWire(m))
-	}
+	e.Store.learn(time.Now(), response)
 }
--- /dev/null
+++ b/internal/roster/memory_test.go
@@ -0,0 +1,147 @@
+package roster_test
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/roster"
+	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
+)
+
+// withUpstream is an agent whose upstream is in the state and was started as the incarnation.
+func withUpstream(last byte, state roster.State, incarnation uint64) roster.Record {
+	r := agent(last, 0)
+	r.State, r.Incarnation = state, incarnation
+	return r
+}
+
+// list gives a store the list of a control VM, as another control VM does.
+func list(t *testing.T, store *roster.Store, control uint32, agents ...roster.Record) {
+	remembered := &pb.Remembered{Control: control}
+	for _, a := range agents {
+		remembered.Agents = append(remembered.Agents, roster.ToWire(a))
+	}
+	server := roster.NewServer(store, declarations{7}, func() time.Time { return start })
+	if _, err := server.Exchange(context.Background(), &pb.ExchangeRequest{Remembered: remembered}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// After a common loss of power a roster is complete as soon as everybody who was there before has reported. Taken for
+// complete too early, flows that live would be reset; too late, callers wait for upstreams that are long back.
+func TestRememberedAgentsSettleTheRoster(t *testing.T) {
+	active, draining, vacant := roster.StateActive, roster.StateDraining, roster.StateVacant
+	first, second := withUpstream(1, active, 11), withUpstream(2, active, 12)
+	leaving := withUpstream(3, draining, 13)
+	empty := withUpstream(4, vacant, 0)
+	unheard := withUpstream(3, roster.StateNone, 0)
+	anew1, anew2 := withUpstream(1, active, 21), withUpstream(2, active, 22)
+	for _, c := range []struct {
+		name     string
+		lists    [][]roster.Record
+		reported []roster.Record
+		settled  bool
+	}{
+		{"all have reported", [][]roster.Record{{first, second}, {first, second}}, []roster.Record{first, second}, true},
+		{"the list of a minority", [][]roster.Record{{first, second}}, []roster.Record{first, second}, false},
+		{"one has not reported", [][]roster.Record{{first, second}, {first, second}}, []roster.Record{first}, false},
+		{"one is known to one list only", [][]roster.Record{{first, second}, {first}}, []roster.Record{first}, false},
+		{"one has not heard its upstream", [][]roster.Record{{first, second}, {first, second}},
+			[]roster.Record{first, withUpstream(2, roster.StateNone, 0)}, false},
+		{"one had no upstream", [][]roster.Record{{first, empty}, {first, empty}}, []roster.Record{first}, true},
+		{"lists without agents", [][]roster.Record{{}, {}}, []roster.Record{first}, false},
+		{"a draining upstream is missing and the others went on", [][]roster.Record{{first, second, leaving}, {first, second, leaving}},
+			[]roster.Record{first, second, unheard}, false},
+		{"a draining upstream is missing and one other went on", [][]roster.Record{{first, second, leaving}, {first, second, leaving}},
+			[]roster.Record{first, anew2, unheard}, false},
+		{"a draining upstream is missing and all others are new", [][]roster.Record{{first, second, leaving}, {first, second, leaving}},
+			[]roster.Record{anew1, anew2, unheard}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			store := roster.NewStore(start, func() int { return 2 })
+			for i, l := range c.lists {
+				list(t, store, uint32(i+1), l...)
+			}
+			store.Put(start, c.reported...)
+			g.Expect(store.Settled(start.Add(10 * time.Millisecond))).To(gomega.Equal(c.settled))
+		})
+	}
+}
+
+// An agent whose upstream is gone swallows packets. After a common loss of power nobody should wait for one that was vacant
+// before, nor for one whose draining upstream went with all others; an agent that merely restarts must be asked.
+func TestRememberedVacancy(t *testing.T) {
+	g := gomega.NewWithT(t)
+	store := roster.NewStore(start, func() int { return 1 })
+	list(t, store, 1, withUpstream(1, roster.StateActive, 11), withUpstream(2, roster.StateActive, 12),
+		withUpstream(3, roster.StateDraining, 13), withUpstream(4, roster.StateVacant, 0))
+	store.Put(start, withUpstream(1, roster.StateActive, 21), withUpstream(2, roster.StateActive, 22),
+		withUpstream(3, roster.StateNone, 0), withUpstream(4, roster.StateNone, 0), withUpstream(5, roster.StateNone, 0))
+	states := func(after time.Duration) map[byte]roster.State {
+		out := map[byte]roster.State{}
+		for _, r := range store.List(start.Add(after)) {
+			out[r.Address.As4()[3]] = r.State
+		}
+		return out
+	}
+	active, none, vacant := roster.StateActive, roster.StateNone, roster.StateVacant
+	g.Expect(store.Settled(start)).To(gomega.BeTrue())
+	g.Expect(states(time.Second)).To(gomega.Equal(map[byte]roster.State{1: active, 2: active, 3: vacant, 4: vacant, 5: none}))
+	g.Expect(states(3 * time.Second)).To(gomega.Equal(map[byte]roster.State{1: active, 2: active, 3: none, 4: none, 5: none}))
+}
+
+// The list must survive the process and must not be taken from a damaged file.
+func TestMemoryFile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := t.TempDir()
+	memory := func(store *roster.Store) *roster.Memory {
+		return &roster.Memory{
+			Directory: dir, Store: store, Self: netip.AddrFrom4([4]byte{10, 0, 0, 200}), Logger: log.NewNopLogger(),
+		}
+	}
+	old := roster.NewStore(time.Now().Add(-time.Minute), noQuorum)
+	old.Put(time.Now(), withUpstream(1, roster.StateActive, 11), withUpstream(2, roster.StateVacant, 0))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		memory(old).Run(ctx)
+	}()
+	path := filepath.Join(dir, "agents")
+	g.Eventually(func() error { _, err := os.Stat(path); return err }, time.Minute, 10*time.Millisecond).Should(gomega.Succeed())
+	cancel()
+	<-done
+
+	restarted := func() bool {
+		store := roster.NewStore(start, func() int { return 1 })
+		memory(store).Load()
+		store.Put(start, withUpstream(1, roster.StateActive, 21))
+		return store.Settled(start)
+	}
+	g.Expect(restarted()).To(gomega.BeTrue())
+	whole, err := os.ReadFile(path)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	whole[len(whole)-1] ^= 1
+	g.Expect(os.WriteFile(path, whole, 0o600)).To(gomega.Succeed())
+	g.Expect(restarted()).To(gomega.BeFalse())
+}
+
+// A roster that may lack agents must not replace the list: after the next loss of power nobody would wait for the rest.
+func TestIncompleteRosterIsNotWritten(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := t.TempDir()
+	store := roster.NewStore(time.Now().Add(time.Hour), noQuorum)
+	store.Put(time.Now(), agent(1, 0))
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	(&roster.Memory{Directory: dir, Store: store, Self: netip.AddrFrom4([4]byte{10, 0, 0, 200}), Logger: log.NewNopLogger()}).Run(ctx)
+	g.Expect(filepath.Glob(filepath.Join(dir, "*"))).To(gomega.BeEmpty())
+}
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -47,6 +47,7 @@
 	Warmup        time.Duration
 	Version       uint64 // declaration in force
 	Leaving       bool
+	Incarnation   uint64        // names the start of an agent's upstream
 	Age           time.Duration // since the process was heard by a control VM
 }
 
@@ -72,7 +73,7 @@
 		Kind: uint32(r.Kind), Address: addressBits(r.Address), TunnelPort: uint32(r.TunnelPort),
 		FailureDomain: r.FailureDomain, Service: r.Service, State: uint32(r.State), Slots: r.Slots,
 		Flows: r.Flows, Busy: r.Busy, WarmupMs: milliseconds(r.Warmup), AgeMs: milliseconds(r.Age),
-		Version: r.Version, Leaving: r.Leaving,
+		Version: r.Version, Leaving: r.Leaving, Incarnation: r.Incarnation,
 	}
 }
 
@@ -83,6 +84,7 @@
 		FailureDomain: m.GetFailureDomain(), Service: m.GetService(), State: State(m.GetState()), Slots: m.GetSlots(),
 		Flows: m.GetFlows(), Busy: m.GetBusy(), Warmup: time.Duration(m.GetWarmupMs()) * time.Millisecond,
 		Age: time.Duration(m.GetAgeMs()) * time.Millisecond, Version: m.GetVersion(), Leaving: m.GetLeaving(),
+		Incarnation: m.GetIncarnation(),
 	}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -24,7 +24,7 @@
 // Control VMs hear of a process at different times. The report heard last holds, whichever way it came.
 func TestLatestReportHolds(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := roster.NewStore(start)
+	s := roster.NewStore(start, noQuorum)
 	s.Put(start, agent(1, 5))
 	second := agent(1, 6)
 	second.Age = 300 * time.Millisecond
@@ -54,7 +54,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			s := roster.NewStore(start)
+			s := roster.NewStore(start, noQuorum)
 			s.Put(start, c.record)
 			g.Expect(len(s.List(start.Add(c.after))) == 1).To(gomega.Equal(c.stays))
 		})
@@ -64,7 +64,7 @@
 // A control VM that has just started must not be taken for complete, nor used to place flows while agents still report.
 func TestSettledAndQuiet(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := roster.NewStore(start)
+	s := roster.NewStore(start, noQuorum)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	g.Expect(s.Quiet(at(200))).To(gomega.BeFalse())
 	s.Put(at(200), agent(1, 0))
@@ -87,7 +87,7 @@
 func TestSync(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := start
-	store := roster.NewStore(start)
+	store := roster.NewStore(start, noQuorum)
 	server := roster.NewServer(store, declarations{7}, func() time.Time { return now })
 	entry := roster.Record{Kind: roster.KindEntry, Address: netip.AddrFrom4([4]byte{10, 0, 0, 9})}
 	known := agent(1, 4)
@@ -115,3 +115,6 @@
 	g.Expect(peers).To(gomega.HaveLen(3))
 	g.Expect([]bool{peers[0].Active, peers[1].Active, peers[2].Active}).To(gomega.Equal([]bool{true, false, false}))
 }
+
+// noQuorum is the quorum of a control VM that does not know its group.
+func noQuorum() int { return 0 }
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -57,10 +57,24 @@
 // Exchange implements the twirp service.
 func (s *Server) Exchange(_ context.Context, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
 	now := s.now()
-	for _, m := range request.GetRecords() {
-		s.store.Put(now, FromWire(m))
+	s.store.learn(now, request)
+	return &pb.ExchangeResponse{Records: wireRecords(s.store.List(now)), Remembered: s.store.ownList(now)}, nil
+}
+
+// exchanged is what both directions of an exchange carry.
+type exchanged interface {
+	GetRecords() []*pb.Record
+	GetRemembered() *pb.Remembered
+}
+
+// learn takes over what another control VM told.
+func (s *Store) learn(now time.Time, from exchanged) {
+	for _, m := range from.GetRecords() {
+		s.Put(now, FromWire(m))
+	}
+	if list := from.GetRemembered(); list != nil {
+		s.remember(addressOf(list.GetControl()), list.GetAgents(), false)
 	}
-	return &pb.ExchangeResponse{Records: wireRecords(s.store.List(now))}, nil
 }
 
 func wireRecords(records []Record) []*pb.Record {
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -1,8 +1,13 @@
 package roster
 
 import (
+	"cmp"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
+
+	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
 
 // Times of the store.
@@ -20,6 +25,9 @@
 	// quietAfter is how long no unknown process may have reported before new flows are placed by the store: processes that
 	// start together report within a few retries (retryInterval) of each other. Flows placed earlier would crowd the first.
 	quietAfter = 250 * time.Millisecond
+	// memoryTrust is how long after its start a store takes an agent that has not heard an upstream, and was remembered
+	// without one, for vacant: three announcements of an upstream.
+	memoryTrust = 2500 * time.Millisecond
 )
 
 type key struct {
@@ -38,11 +46,27 @@
 	records map[key]kept
 	started time.Time
 	grown   time.Time // when an unknown agent reported last
+	early   bool      // all remembered agents reported before settling had passed
+
+	quorum     func() int            // lists that are needed to know all agents; 0 while that is not known
+	remembered map[uint32]remembered // agents of all lists, by address
+	lists      map[uint32]struct{}   // control VMs whose lists are included
+	own        *pb.Remembered        // list of this control VM
 }
 
-// NewStore returns an empty store.
-func NewStore(now time.Time) *Store {
-	return &Store{records: map[key]kept{}, started: now, grown: now}
+// remembered is what is known of an agent's upstream from before the start.
+type remembered struct {
+	state       State
+	incarnation uint64
+}
+
+// NewStore returns an empty store. The roster is complete before it has settled by time once the agents in the lists of
+// quorum control VMs have reported.
+func NewStore(now time.Time, quorum func() int) *Store {
+	return &Store{
+		records: map[key]kept{}, started: now, grown: now,
+		quorum: quorum, remembered: map[uint32]remembered{}, lists: map[uint32]struct{}{},
+	}
 }
 
 // Put stores records. The one that was heard last holds.
@@ -75,6 +99,9 @@
 			continue
 		}
 		v.record.Age = age
+		if s.presumedVacant(v.record, now) {
+			v.record.State = StateVacant
+		}
 		out = append(out, v.record)
 	}
 	return out
@@ -84,12 +111,99 @@
 func (s *Store) Settled(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.started) >= settling
+	return s.settled(now)
+}
+
+// settled is Settled for callers that hold mu.
+func (s *Store) settled(now time.Time) bool {
+	s.early = s.early || s.complete()
+	return s.early || now.Sub(s.started) >= settling
 }
 
 // Quiet reports whether no unknown agent has reported for a while, or the store is settled.
 func (s *Store) Quiet(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.grown) >= quietAfter || now.Sub(s.started) >= settling
+	return now.Sub(s.grown) >= quietAfter || s.settled(now)
+}
+
+// remember adds the list of agents that a control VM knew before it started.
+func (s *Store) remember(control netip.Addr, agents []*pb.Record, own bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if own {
+		s.own = &pb.Remembered{Control: addressBits(control), Agents: agents}
+	}
+	s.lists[addressBits(control)] = struct{}{}
+	for _, a := range agents {
+		told := remembered{State(a.GetState()), a.GetIncarnation()}
+		if old, ok := s.remembered[a.GetAddress()]; !ok || told.state < old.state {
+			s.remembered[a.GetAddress()] = told // of different lists, the one with the most use for its upstream holds
+		}
+	}
+}
+
+// complete reports whether every agent that a majority of the control VMs remembers has reported since the start of this
+// one. The lists of a minority may be old. An upstream that took no new flows before may be gone with the cause of the
+// restart: it is not waited for if every other one has started anew. The caller holds mu.
+func (s *Store) complete() bool {
+	need := s.quorum()
+	if need == 0 || len(s.lists) < need {
+		return false
+	}
+	missing, same, anew := 0, 0, 0
+	for address, before := range s.remembered {
+		if before.state == StateVacant {
+			continue
+		}
+		r, ok := s.records[key{KindAgent, address}]
+		switch {
+		case ok && r.record.Incarnation == before.incarnation:
+			same++
+		case ok && r.record.Incarnation != 0:
+			anew++
+		case ok && before.state == StateDraining:
+			missing++
+		default:
+			return false
+		}
+	}
+	return missing == 0 && same+anew > 0 || same == 0 && anew > 1
+}
+
+// presumedVacant reports whether an agent that has not heard an upstream since its start had none before, or lost it with
+// all others. The caller holds mu.
+func (s *Store) presumedVacant(r Record, now time.Time) bool {
+	if r.Kind != KindAgent || r.State != StateNone || now.Sub(s.started) >= memoryTrust {
+		return false
+	}
+	before, known := s.remembered[addressBits(r.Address)]
+	return known && (before.state == StateVacant || s.early && before.state == StateDraining)
+}
+
+// ownList returns the list of this control VM for others, or nil once its roster is settled and says more.
+func (s *Store) ownList(now time.Time) *pb.Remembered {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.settled(now) {
+		return nil
+	}
+	return s.own
+}
+
+// memorable returns the agents to remember, in the order of their addresses. Not ok means that the roster may lack some.
+func (s *Store) memorable(now time.Time) (agents []*pb.Record, ok bool) {
+	if !s.Settled(now) {
+		return nil, false
+	}
+	for _, r := range s.List(now) {
+		if r.Kind != KindAgent || r.Leaving && r.State == StateVacant {
+			continue
+		}
+		agents = append(agents, &pb.Record{
+			Address: addressBits(r.Address), State: uint32(r.State), Incarnation: r.Incarnation,
+		})
+	}
+	slices.SortFunc(agents, func(a, b *pb.Record) int { return cmp.Compare(a.GetAddress(), b.GetAddress()) })
+	return agents, true
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,8 +3,11 @@
 package upstream
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/plantainseam/plantainseam/internal/passthrough"
 )
 
@@ -19,6 +22,11 @@
 	Warmup   time.Duration // time that the process remains cold
 }
 
+// Incarnation names the start of the process that the announcement is of.
+func (a Announcement) Incarnation() uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s/%d", a.ID, a.Born))
+}
+
 // Outcome says what an announcement changed.
 type Outcome string
 
