Ask for unsettled rosters every 50 ms, fewer in large deployments

Change: 50 ms, but 1 ms for each record of the roster, so that a process fetches at most 60 KB a second.

--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -55,6 +55,7 @@
 	lastAt   time.Time        // when it arrived
 	teach    bool             // the control VM in use has just started
 	settled  bool             // the last answer was complete
+	records  int              // in the last answer
 }
 
 // NewClient returns a client.
@@ -117,9 +118,17 @@
 // retryInterval is the pause before control VMs are asked again, while none is in use or there is no declaration yet.
 const retryInterval = 50 * time.Millisecond
 
-// unsettledInterval is the time between two reports while the roster is not settled. New flows and resets wait for that,
-// and at a quarter of Interval the news is at most 100 ms old.
-const unsettledInterval = Interval / 4
+// Pauses while the roster is not settled: new flows and resets wait for the news.
+const (
+	unsettledPause = 50 * time.Millisecond
+	// unsettledPerRecord bounds what the answers cost: a record takes about 60 bytes, so a process fetches 60 KB a second.
+	unsettledPerRecord = time.Millisecond
+)
+
+// unsettledInterval is the time between two reports or exchanges while a roster of n records is not settled.
+func unsettledInterval(n int) time.Duration {
+	return min(Interval, max(unsettledPause, time.Duration(n)*unsettledPerRecord))
+}
 
 // pause returns the time until the next report.
 func (c *Client) pause(reached bool) time.Duration {
@@ -129,7 +138,7 @@
 	case !reached || c.cfg.Held() == 0:
 		return retryInterval
 	case !c.settled:
-		return unsettledInterval
+		return unsettledInterval(c.records)
 	default:
 		return Interval
 	}
@@ -280,7 +289,7 @@
 		return a.Address.Less(b.Address)
 	})
 	c.mu.Lock()
-	c.settled = v.Settled
+	c.settled, c.records = v.Settled, len(v.Records)
 	c.teach = !v.Settled && len(c.last) > 0
 	if v.Settled {
 		c.last, c.lastAt = v.Records, time.Now()
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -41,7 +41,7 @@
 		if e.Store.Settled(now) {
 			timer.Reset(exchangePeriod)
 		} else {
-			timer.Reset(unsettledInterval)
+			timer.Reset(unsettledInterval(len(e.Store.List(now))))
 		}
 	}
 }
