Report an agent that stops without an upstream as vacant

An agent that stops before it has heard an upstream stayed in rosters for 12 s and swallowed searches.

--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -65,7 +65,7 @@
 		if u.Cold {
 			r.Warmup = last.Warmup
 		}
-	} else if a.machine.Vacant(a.now()) {
+	} else if a.leaving || a.machine.Vacant(a.now()) {
 		r.State = roster.StateVacant
 	}
 	if a.table != nil {
