Do not search agents without an upstream that no list names

Ruled out: stopping agents (none logs it), the lists (complete at 35.85 s), lost packets. Change: vacant agents are in the lists; once the roster is complete by the lists, an agent that has not heard an upstream and is in no list is taken for vacant; this holds for silent agents as well.

--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -25,8 +25,8 @@
 	// quietAfter is how long no unknown process may have reported before new flows are placed by the store: processes that
 	// start together report within a few retries (retryInterval) of each other. Flows placed earlier would crowd the first.
 	quietAfter = 250 * time.Millisecond
-	// memoryTrust is how long after its start a store takes an agent that has not heard an upstream, and was remembered
-	// without one, for vacant: three announcements of an upstream.
+	// memoryTrust is how long after the start of a store the lists speak for agents that have not heard an upstream: three
+	// announcements of an upstream.
 	memoryTrust = 2500 * time.Millisecond
 )
 
@@ -99,7 +99,7 @@
 			continue
 		}
 		v.record.Age = age
-		if s.presumedVacant(v.record, now) {
+		if s.presumedVacant(v) {
 			v.record.State = StateVacant
 		}
 		out = append(out, v.record)
@@ -171,14 +171,18 @@
 	return missing == 0 && same+anew > 0 || same == 0 && anew > 1
 }
 
-// presumedVacant reports whether an agent that has not heard an upstream since its start had none before, or lost it with
-// all others. The caller holds mu.
-func (s *Store) presumedVacant(r Record, now time.Time) bool {
-	if r.Kind != KindAgent || r.State != StateNone || now.Sub(s.started) >= memoryTrust {
+// presumedVacant reports whether an agent that has not heard an upstream holds no flows: it had none before the start of
+// this store, or is in none of the lists of a majority, or its draining upstream went with all others. The caller holds mu.
+func (s *Store) presumedVacant(k kept) bool {
+	r := k.record
+	if r.Kind != KindAgent || r.State != StateNone || k.heard.Sub(s.started) >= memoryTrust {
 		return false
 	}
 	before, known := s.remembered[addressBits(r.Address)]
-	return known && (before.state == StateVacant || s.early && before.state == StateDraining)
+	if !known {
+		return s.early
+	}
+	return before.state == StateVacant || s.early && before.state == StateDraining
 }
 
 // ownList returns the list of this control VM for others, or nil once its roster is settled and says more.
@@ -197,7 +201,7 @@
 		return nil, false
 	}
 	for _, r := range s.List(now) {
-		if r.Kind != KindAgent || r.Leaving && r.State == StateVacant {
+		if r.Kind != KindAgent {
 			continue
 		}
 		agents = append(agents, &pb.Record{
