Search one failure domain after the other

Ruled out: settling (36.3 s), upstreams that are cold (p50 of later seconds is 45 ms). Change: after the eight highest-ranked agents a search goes on in the domain that it has reached. TestSearchOfALostFlowRarelyCrossesDomains fails before.

--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -79,11 +79,17 @@
 	return at
 }
 
+// rankedFirst is how many agents a search visits by rank alone. A flow is placed on one of the candidates highest-ranked
+// agents, and few are added or return during its life. The rest is visited failure domain by failure domain: a packet of a
+// flow that is lost visits all agents, and a hop to another domain takes several milliseconds.
+const rankedFirst = 2 * candidates
+
 // next returns the peer to ask for an established flow after the visited ones, or nil.
 func (c *chooser) next(r *Roster, f Flow, route *Route, visited []Endpoint) *Peer {
 	if len(visited) >= MaxVisited {
 		return nil
 	}
+	nearFirst := len(visited) >= rankedFirst
 	var best *Peer
 	var bestHash uint64
 	bestPlace := 0
@@ -92,7 +98,10 @@
 		if p.AgeMs >= lostMs || slices.Contains(visited, p.Tunnel) {
 			continue
 		}
-		at, hash := place(p, route), rankHash(f, p.Tunnel)
+		at, hash := 2*place(p, route), rankHash(f, p.Tunnel)
+		if nearFirst && p.Domain != c.domain {
+			at++
+		}
 		if best == nil || at < bestPlace || at == bestPlace && hash > bestHash {
 			best, bestHash, bestPlace = p, hash, at
 		}
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -354,6 +354,37 @@
 	g.Expect(n.deliveries).To(gomega.Equal(12))
 }
 
+// A packet of a lost flow visits every agent before its caller is told. It must not cross between failure domains at each
+// hop. (Measured on seomra-iarratas-grown: 50 hops of 5 ms before a reset.)
+func TestSearchOfALostFlowRarelyCrossesDomains(t *testing.T) {
+	const agents, domains = 50, 5
+	var peers []Peer
+	for i := range agents {
+		peers = append(peers, Peer{Tunnel: tunnel(i + 1), Domain: string(rune('a' + i%domains)), Service: "s", Active: true})
+	}
+	r := NewRoster(peers, true)
+	route := NewRoute("r", []Target{{"s", 1}})
+	for flow := range 40 {
+		at, crossings := "a", 0
+		var visited []Endpoint
+		for {
+			c := chooser{domain: at}
+			p := c.next(r, caller(flow), route, visited)
+			if p == nil {
+				break
+			}
+			if p.Domain != at {
+				crossings++
+			}
+			at = p.Domain
+			visited = append(visited, p.Tunnel)
+		}
+		if len(visited) != agents || crossings > rankedFirst+domains {
+			t.Fatalf("flow %d: %d agents visited, %d crossings", flow, len(visited), crossings)
+		}
+	}
+}
+
 // A host that is closing a flow still holds it: an entry that finds it there must remember it. (Found on the grown sites:
 // the host had sent its FIN, entries were not told, and for 3.2 s the caller's packets reached other hosts only.)
 func TestClosingFlowIsFoundOnce(t *testing.T) {
