Explain failures from logs and metrics of real processes

The core served no metrics, nothing was timed, and a request that ran into its time limit on a known flow left no line after the flow was opened. Change: histograms of opening and searching flows, declarations, reads, spread and leaderless spans; counters of resets and returned packets; gauges of the group and the roster; an entry logs flow_unanswered on a caller's second and third repeat with the age of the agent's report; plantainseam explain tells a silent agent from a slow upstream.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -43,11 +43,13 @@
 	machine *declared.Machine
 	group   *group.Group
 	store   *roster.Store
+
+	instruments *instruments
 }
 
 // New returns an authority that is started by Run.
 func New(cfg Config) *Authority {
-	a := &Authority{cfg: cfg}
+	a := &Authority{cfg: cfg, instruments: newInstruments()}
 	a.store = roster.NewStore(time.Now(), func() int { return a.group.Quorum() })
 	a.machine = declared.New(func(version uint64) {
 		_ = cfg.Logger.Log("event", "declaration_applied", "version", version)
@@ -55,7 +57,8 @@
 	a.group = group.New(group.Config{
 		Name: cfg.Name, Self: cfg.Self, DataDir: cfg.DataDir, Founder: cfg.Founder, Seeds: cfg.Seeds,
 		Tolerated: cfg.Tolerated, Silence: cfg.Silence, Machine: a.machine, Controls: a.controls, Logger: cfg.Logger,
-		Seed: cfg.Seed,
+		Seed:       cfg.Seed,
+		Leaderless: func(span time.Duration) { a.instruments.leaderless.Observe(span.Seconds()) },
 	})
 	return a
 }
@@ -106,6 +109,12 @@
 // without effect. Errors: DeclarationInvalid; any other code means that it may or may not be in force.
 func (a *Authority) Declare(ctx context.Context, content []byte) error {
 	started := time.Now()
+	err := a.declare(ctx, started, content)
+	a.instruments.declare.WithLabelValues(codeLabel(err)).Observe(time.Since(started).Seconds())
+	return err
+}
+
+func (a *Authority) declare(ctx context.Context, started time.Time, content []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	table, err := a.cfg.Read(content)
@@ -138,10 +147,12 @@
 func (a *Authority) Newest(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
+	started := time.Now()
 	if err := a.group.Read(ctx); err != nil {
-		a.note("read_unconfirmed", 0, time.Now(), err)
+		a.note("read_unconfirmed", 0, started, err)
 		return nil, err
 	}
+	a.instruments.read.Observe(time.Since(started).Seconds())
 	version, packed := a.machine.Held()
 	if version == 0 {
 		return nil, result.Errorf(result.DeclarationUnsettled, "nothing was declared yet")
@@ -177,6 +188,7 @@
 	memory := &roster.Memory{Directory: a.cfg.DataDir, Store: a.store, Self: a.cfg.Self.Addr(), Logger: a.cfg.Logger}
 	memory.Load()
 	go memory.Run(ctx)
+	go a.measureSpread(ctx)
 	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.partners}
 	go exchange.Run(ctx)
 	done := make(chan struct{})
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -162,6 +163,8 @@
 		case !l.about(id):
 		case l.Event == "flow_ended":
 			cause = "the flow was ended by its upstream or its caller"
+		case l.Event == "flow_unanswered":
+			cause = unanswered(l)
 		case l.Event == "flow_opened":
 			cause = "the flow was opened; whatever delayed it happened at the upstream or on the way back"
 		case causes[l.field("reason")] != "":
@@ -171,6 +174,19 @@
 	return cause
 }
 
+// silentAfterMs is the age in milliseconds of an agent's report from which on the agent counts as silent. Reports, exchanges
+// between control VMs and fetches of rosters, 400 ms apart each, add up to that.
+const silentAfterMs = 1200
+
+// unanswered tells why the packets of a flow whose holder is known had no effect.
+func unanswered(l Line) string {
+	age, err := strconv.Atoi(l.field("age_ms"))
+	if err == nil && age >= silentAfterMs {
+		return fmt.Sprintf("agent %s had not reported for %d ms: its process or VM was down, frozen or cut off", l.field("agent"), age)
+	}
+	return fmt.Sprintf("agent %s reported until then, but its upstream did not answer in time: it was overloaded, stuck or gone", l.field("agent"))
+}
+
 // Write writes a time line with times relative to its first line.
 func Write(w io.Writer, timeline []Line) error {
 	for _, l := range timeline {
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -186,6 +186,9 @@
 		a.counts.add("malformed")
 		return out
 	}
+	if s.Bounced {
+		a.counts.bounces.Inc()
+	}
 	a.mu.Lock()
 	d := a.machine.FromHost(a.now(), s)
 	a.mu.Unlock()
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -183,6 +183,9 @@
 	case passthrough.ToPeer:
 		out = passthrough.AppendForward(out, d.Forward, b)
 		e.logPeer(s, d)
+		if d.Unanswered {
+			e.logUnanswered(s, d)
+		}
 		e.send(out, d.Peer.AddrPort())
 	case passthrough.ToSeveral:
 		e.logRefusal(s, d)
@@ -217,16 +220,27 @@
 		e.counts.add("malformed")
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	switch {
 	case d.Holds != nil:
-		e.machine.Holds(e.now(), passthrough.EndpointOf(from), *d.Holds)
-		if e.waiting != nil {
-			e.waiting.forget(d.Holds.Flow)
-		}
+		e.holds(passthrough.EndpointOf(from), *d.Holds)
 	case d.Misses != nil:
+		e.mu.Lock()
 		e.machine.Misses(e.now(), passthrough.EndpointOf(from), *d.Misses)
+		e.mu.Unlock()
+	}
+}
+
+// holds processes the word of an agent that its upstream holds a flow.
+func (e *Entry) holds(from passthrough.Endpoint, h passthrough.Holds) {
+	e.mu.Lock()
+	answer := e.machine.Holds(e.now(), from, h)
+	if e.waiting != nil {
+		e.waiting.forget(h.Flow)
+	}
+	e.mu.Unlock()
+	e.counts.answer(answer)
+	if answer.Found {
+		e.logFound(h.Flow, from, answer)
 	}
 }
 
--- a/internal/forwarder/flowlog.go
+++ b/internal/forwarder/flowlog.go
@@ -27,6 +27,17 @@
 		"visited", len(d.Forward.Visited), "version", d.Forward.Version)
 }
 
+// logUnanswered logs that a caller repeats a packet whose holder is known.
+func (l *link) logUnanswered(s passthrough.Segment, d passthrough.Decision) {
+	_ = l.cfg.Logger.Log("event", "flow_unanswered", "flow", s.Flow, "agent", d.Peer, "age_ms", d.AgeMs, "version",
+		d.Forward.Version)
+}
+
+// logFound logs the end of a search.
+func (l *link) logFound(f passthrough.Flow, holder passthrough.Endpoint, a passthrough.Answer) {
+	_ = l.cfg.FlowLog.Log("event", "flow_found", "flow", f, "agent", holder, "ms", a.AfterMs)
+}
+
 // logChange logs the beginning and the end of a flow at the upstream.
 func (l *link) logChange(s passthrough.Segment, d passthrough.Decision) {
 	_ = l.cfg.FlowLog.Log("event", "flow_"+string(d.Change), "flow", s.Flow, "flows", d.Flows, "busy", d.Busy)
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -68,6 +68,8 @@
 	Controls  func() []netip.AddrPort // RPC addresses of control VMs that are known to live
 	Logger    log.Logger
 	Seed      uint64 // for election timeouts
+	// Leaderless, if not nil, is told how long this member knew no leader, when it hears of one.
+	Leaderless func(time.Duration)
 }
 
 // Group is a member of the group of control VMs.
@@ -166,9 +168,34 @@
 	defer g.set(func() { g.node, g.twirp = nil, nil })
 	_ = g.cfg.Logger.Log("event", "group_member_started", "identity", directory.Identity().ID, "blank", blank,
 		"founders", len(founders))
+	updates, unsubscribe := n.Subscribe()
+	defer unsubscribe()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go g.noteLeaders(ctx, updates)
 	return g.maintain(ctx, n)
 }
 
+// noteLeaders tells how long no leader was known, until ctx is done.
+func (g *Group) noteLeaders(ctx context.Context, updates <-chan node.Update) {
+	since, known := time.Now(), false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-updates:
+			heard := u.Leader != ""
+			if heard == known {
+				continue
+			}
+			if heard && g.cfg.Leaderless != nil {
+				g.cfg.Leaderless(time.Since(since))
+			}
+			since, known = time.Now(), heard
+		}
+	}
+}
+
 func (g *Group) set(change func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -14,6 +14,10 @@
 // Namespace prefixes every metric name.
 const Namespace = "plantainseam"
 
+// LatencyBuckets are the upper bounds in seconds of latency histograms: from a hop within a failure domain (1 ms) to the
+// longest time limit of a request (6 s).
+var LatencyBuckets = []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 6}
+
 // readHeaderTimeout bounds how long a scraper may take to send its request.
 const readHeaderTimeout = 5 * time.Second
 
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -46,11 +46,12 @@
 	HintTo  Endpoint // entry that is told
 
 	// For logs.
-	Load   float64 // placement cost of the chosen agent
-	AgeMs  int64   // of the report that it was chosen by
-	Change Change  // of the flow at the upstream
-	Flows  int     // open flows at the upstream afterwards
-	Busy   int     // of them, with an unanswered request
+	Load       float64 // placement cost of the chosen agent
+	AgeMs      int64   // of the last report of the agent
+	Unanswered bool    // the caller has repeated the packet in vain
+	Change     Change  // of the flow at the upstream
+	Flows      int     // open flows at the upstream afterwards
+	Busy       int     // of them, with an unanswered request
 }
 
 // Change is what a packet of the upstream changed about its flow.
@@ -77,6 +78,11 @@
 	growingMs = 1200
 	// searchMs is how long a search is remembered: longer than the longest pause of a caller between repeats (1.6 s).
 	searchMs = 5000
+	// unansweredRepeats is from which repeat of a packet on there is a line in the log: the second one comes 600 ms after the
+	// packet, longer than upstreams that are not overloaded need. mostRepeats is the last one that is logged, after 1400 ms;
+	// by then an agent that does not report stands out.
+	unansweredRepeats = 2
+	mostRepeats       = 3
 	// DefaultIdleMs is the idle timeout without a declaration.
 	DefaultIdleMs = 15000
 )
@@ -96,10 +102,13 @@
 
 // entryFlow is what an entry remembers of a flow. It is a cache: the upstream alone knows the truth.
 type entryFlow struct {
-	peer   Endpoint
-	seenMs int64
-	held   bool // the agent told that its upstream answered
-	tries  uint8
+	peer     Endpoint
+	seenMs   int64
+	placedMs int64 // when its first opening packet was placed; 0 if another entry did that
+	held     bool  // the agent told that its upstream answered
+	tries    uint8
+	repeats  uint8  // of the caller's last packet with data
+	lastSeq  uint32 // of that packet
 }
 
 // search is a flow whose holder is being looked for.
@@ -163,8 +172,13 @@
 	f, known := e.flows[s.Flow]
 	if known && e.roster.Find(f.peer) != nil {
 		f.seenMs = now
+		f.noteRepeat(s)
 		e.flows[s.Flow] = f
-		return e.forward(f.peer, ReasonKnown, "", nil)
+		d := e.forward(f.peer, ReasonKnown, "", nil)
+		if d.Unanswered = s.Data > 0 && f.repeats >= unansweredRepeats && f.repeats <= mostRepeats; d.Unanswered {
+			d.AgeMs = e.roster.Find(f.peer).AgeMs + now - e.rosterMs
+		}
+		return d
 	}
 	if known && e.roster.Settled {
 		delete(e.flows, s.Flow)
@@ -175,6 +189,17 @@
 	return e.find(now, s, route)
 }
 
+// noteRepeat counts how often the caller has sent the same packet again.
+func (f *entryFlow) noteRepeat(s Segment) {
+	switch {
+	case s.Data == 0:
+	case s.Seq != f.lastSeq:
+		f.lastSeq, f.repeats = s.Seq, 0
+	case f.repeats <= mostRepeats:
+		f.repeats++
+	}
+}
+
 // find looks for the holder of a flow: first from agent to agent, which costs one packet of the entry, and then, while no
 // agent has answered, by asking more and more of them at once.
 func (e *Entry) find(now int64, s Segment, route *Route) Decision {
@@ -264,7 +289,11 @@
 	if !known {
 		e.makeRoom()
 	}
-	e.flows[s.Flow] = entryFlow{peer: p.Tunnel, seenMs: now, tries: f.tries + 1}
+	first := f.placedMs
+	if f.tries == 0 {
+		first = now
+	}
+	e.flows[s.Flow] = entryFlow{peer: p.Tunnel, seenMs: now, placedMs: first, tries: f.tries + 1}
 	d := e.forward(p.Tunnel, reason, service, nil)
 	d.Load, d.AgeMs = loadOf(p, e.placed[p.Tunnel], e.choice.domain), p.AgeMs
 	e.placed[p.Tunnel]++
@@ -283,19 +312,33 @@
 	}
 }
 
+// Answer is what the word of an agent that its upstream holds a flow has ended.
+type Answer struct {
+	Opened  bool  // the flow was being opened through this entry
+	Found   bool  // this entry was searching for its holder
+	AfterMs int64 // since the first packet
+}
+
 // Holds processes the word of an agent that its upstream holds a flow.
-func (e *Entry) Holds(now int64, from Endpoint, h Holds) {
+func (e *Entry) Holds(now int64, from Endpoint, h Holds) Answer {
 	f, known := e.flows[h.Flow]
 	if !known {
 		e.makeRoom()
 	}
-	e.flows[h.Flow] = entryFlow{peer: from, seenMs: now, held: true, tries: f.tries}
+	var answer Answer
+	if looked, ok := e.search[h.Flow]; ok {
+		answer = Answer{Found: true, AfterMs: now - looked.startMs}
+	} else if known && f.tries > 0 && !f.held {
+		answer = Answer{Opened: true, AfterMs: now - f.placedMs}
+	}
+	e.flows[h.Flow] = entryFlow{peer: from, seenMs: now, placedMs: f.placedMs, held: true, tries: f.tries}
 	delete(e.tried, h.Flow)
 	delete(e.search, h.Flow)
 	delete(e.suspect, from)
 	if p := e.roster.Find(from); p != nil {
 		e.placed[from] = float64(h.Flows) - float64(p.Flows)
 	}
+	return answer
 }
 
 // Misses processes the word of an agent that its upstream does not hold a flow.
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -385,6 +385,41 @@
 	}
 }
 
+// An engineer must see from the entry's log that a caller repeats a request in vain, and how long its agent has been silent;
+// a caller that sends new packets must cause no line.
+func TestUnansweredPacketsAreNoted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 3)
+	n.mustHold(t, 0, 1)
+	var ages []int64
+	for i, at := range []int64{0, 200, 600, 1400, 3000, 3100} {
+		s := data(1)
+		s.Seq = 7
+		if i == 5 {
+			s.Seq = 8
+		}
+		d := n.entries[0].Packet(at, s)
+		g.Expect(d.Verdict).To(gomega.Equal(ToPeer))
+		if d.Unanswered {
+			ages = append(ages, d.AgeMs)
+		}
+	}
+	g.Expect(ages).To(gomega.Equal([]int64{600, 1400}))
+}
+
+// The time until the holder of a flow is known must be measured once, for new flows and for searches.
+func TestAnswersAreTimed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(2, 3)
+	at := n.entries[0].Packet(100, open(1)).Peer
+	n.entries[0].Packet(300, open(1))
+	g.Expect(n.entries[0].Holds(350, at, Holds{Flow: caller(1)})).To(gomega.Equal(Answer{Opened: true, AfterMs: 250}))
+	g.Expect(n.entries[0].Holds(360, at, Holds{Flow: caller(1)})).To(gomega.Equal(Answer{}))
+	n.entries[1].Packet(500, data(1))
+	g.Expect(n.entries[1].Holds(520, at, Holds{Flow: caller(1)})).To(gomega.Equal(Answer{Found: true, AfterMs: 20}))
+	g.Expect(n.entries[1].Holds(530, at, Holds{Flow: caller(1)})).To(gomega.Equal(Answer{}))
+}
+
 // A host that is closing a flow still holds it: an entry that finds it there must remember it. (Found on the grown sites:
 // the host had sent its FIN, entries were not told, and for 3.2 s the caller's packets reached other hosts only.)
 func TestClosingFlowIsFoundOnce(t *testing.T) {
--- a/internal/passthrough/types.go
+++ b/internal/passthrough/types.go
@@ -44,6 +44,7 @@
 	Fin     bool
 	Rst     bool
 	Bounced bool   // the upstream returned the packet because it does not hold the flow or cannot accept it
+	Seq     uint32 // sequence number
 	AckNo   uint32 // acknowledgement number
 	Data    int    // bytes of payload
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -41,43 +41,58 @@
 		return 0, fmt.Errorf("folder: %w", err)
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
+	s, err := newSoak(o, folder)
+	if err != nil {
+		return 0, err
+	}
+	defer s.end()
+	if err := s.play(); err != nil {
+		return 0, err
+	}
+	return s.report(folder)
+}
+
+// newSoak starts the processes of a site whose files are in the folder.
+func newSoak(o options, folder string) (*soak, error) {
 	site, err := standin.New(standin.Config{
 		Folder: folder, Network: o.Network, Edges: o.Edges, Sides: o.Sides, Cores: o.Cores, Callers: o.Callers, Loss: o.Loss,
 	})
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	s := &soak{options: o, site: site, processes: map[string]*process{}, random: rand.New(rand.NewPCG(o.Seed, 1))}
-	defer s.end()
 	for _, m := range site.Machines {
 		p, err := newProcess(o.Daemon, folder, site, m)
-		if err != nil {
-			return 0, err
+		if err == nil {
+			s.processes[m.Name] = p
+			err = p.start()
 		}
-		if err := p.start(); err != nil {
-			return 0, err
+		if err != nil {
+			s.end()
+			return nil, err
 		}
-		s.processes[m.Name] = p
 	}
-	if err := s.play(); err != nil {
-		return 0, err
-	}
-	return s.report(folder)
+	return s, nil
 }
 
-// play starts the surroundings, injects faults and checks that everything works again.
-func (s *soak) play() error {
+// surround declares the first manifest and starts hosts, routers and callers.
+func (s *soak) surround() error {
 	if !s.site.Operator.Declare(startPatience) {
-		s.site.Watch.Violate("start", "no manifest was acknowledged within %s", startPatience)
-		return nil
+		return fmt.Errorf("no manifest was acknowledged within %s", startPatience)
 	}
 	for _, m := range s.site.Machines {
 		if err := s.site.WriteSettings(m, false); err != nil {
 			return err
 		}
 	}
-	if err := s.site.Start(s.Seed); err != nil {
-		return err
+	return s.site.Start(s.Seed)
+}
+
+// play starts the surroundings, injects faults and checks that everything works again.
+func (s *soak) play() error {
+	if err := s.surround(); err != nil {
+		s.site.Watch.Violate("start", "%v", err)
+		return nil
 	}
 	stop := make(chan struct{})
 	var operator sync.WaitGroup
