--- a/internal/consensus/store/files.go
+++ b/internal/consensus/store/files.go
@@ -25,14 +25,6 @@
 	return nil
 }
 
-// syncDirectory makes created, renamed and removed names durable.
-func syncDirectory(dir string) error {
-	if err := durable.SyncDirectory(dir); err != nil {
-		return writeFailed("sync directory", err)
-	}
-	return nil
-}
-
 // removeFiles removes files that are no longer needed. A file that stays is removed at the next start.
 func removeFiles(paths []string) {
 	for _, path := range paths {
