Work by known commits until a leader is heard after a common start

Ruled out: a faster election (the third control VM starts at 35.22 s). Change: a member stores with each append up to where the log was committed, and applies that at its start; a process without a declaration takes one from a control VM without a leader for its first 3 s (less than the time until it counts as in touch), and drops it if no leader confirms it; new flows are placed once the agents in the lists at hand have reported; links to control VMs without a leader are kept between attempts. TestKnownCommitsAreAppliedAtStart fails without the change.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -19,7 +19,7 @@
 	now    time.Time
 	log    *memLog
 
-	hard     HardState
+	hard     HardState // Commit is set only in outputs
 	hardSent HardState // last hard state handed out for storage
 	role     Role
 	leader   MemberID
@@ -117,8 +117,8 @@
 		random:   rand.New(rand.NewPCG(cfg.Seed, hash.Sum64())),
 		now:      now,
 		log:      log,
-		hard:     state.Hard,
-		hardSent: state.Hard,
+		hard:     HardState{Term: state.Hard.Term, Vote: state.Hard.Vote},
+		hardSent: HardState{Term: state.Hard.Term, Vote: state.Hard.Vote},
 	}
 	c.hard.Term = max(c.hard.Term, state.Snapshot.Term)
 	c.firstElection()
@@ -310,12 +310,14 @@
 	c.startRound()
 	o := c.out
 	c.out = Output{}
-	if c.hard != c.hardSent {
+	changed, appended := c.hard != c.hardSent, c.log.handed < c.log.last()
+	if changed || appended {
+		c.hardSent = c.hard
 		hard := c.hard
+		hard.Commit = c.log.commit
 		o.Hard = &hard
-		c.hardSent = hard
 	}
-	if c.log.handed < c.log.last() {
+	if appended {
 		o.Entries = c.log.slice(c.log.handed+1, c.log.last(), int(^uint(0)>>1))
 		c.log.handed = c.log.last()
 	}
@@ -329,7 +331,7 @@
 	c.sequence++
 	o.Sequence = c.sequence
 	u := unsyncedOutput{sequence: o.Sequence, last: c.log.handed, since: c.now}
-	if o.Hard != nil && o.Hard.Vote == c.cfg.ID {
+	if changed && o.Hard.Vote == c.cfg.ID {
 		u.voteTerm = o.Hard.Term
 	}
 	c.unsynced = append(c.unsynced, u)
--- a/internal/consensus/faults_test.go
+++ b/internal/consensus/faults_test.go
@@ -278,6 +278,39 @@
 	}
 }
 
+// A member that starts must apply what it knew to be committed without waiting for a leader: after a loss of all power
+// others can then work by a state that is at most one entry old.
+func TestKnownCommitsAreAppliedAtStart(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose int // entries at the end of the log, as after a torn write
+		want uint64
+	}{{"whole log", 0, 2}, {"last entry torn", 1, 2}, {"two entries lost", 2, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(3)
+			leader := g.settle()
+			before := g.peers[leader].index
+			for i := range 3 {
+				_ = g.propose(leader, string(rune('a'+i)))
+				g.run(2 * testConfig.Heartbeat)
+			}
+			for _, id := range g.order {
+				g.crash(id, 0)
+			}
+			p := g.peers[leader]
+			p.disk.Entries = p.disk.Entries[:len(p.disk.Entries)-c.lose]
+			g.start(leader)
+			g.collect(leader)
+			if p.index != before+c.want {
+				t.Fatalf("applied %d entries of 3 at the start, want %d", int64(p.index)-int64(before), c.want)
+			}
+			if len(g.failures) > 0 {
+				t.Fatal(g.failures)
+			}
+		})
+	}
+}
+
 // Members that start one after the other must elect a leader as soon as a majority of them runs: nobody is served before.
 // (Found by khuree-swatch scale-2: 150 ms passed until the next repeat of a pre-vote.)
 func TestElectionOnceAMajorityRuns(t *testing.T) {
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -43,7 +43,8 @@
 	if l.last() < s.Snapshot.Index {
 		return nil, result.Errorf(result.StoreCorrupt, "entries end at %d before snapshot %d", l.last(), s.Snapshot.Index)
 	}
-	l.commit, l.applying, l.applied = s.Snapshot.Index, s.Snapshot.Index, s.Snapshot.Index
+	l.applying, l.applied = s.Snapshot.Index, s.Snapshot.Index
+	l.commit = max(s.Snapshot.Index, min(s.Hard.Commit, l.last()))
 	l.handed, l.stable = l.last(), l.last()
 	l.configs = []memberConfig{{s.Snapshot.Index, s.Snapshot.Membership}}
 	for _, e := range l.entries {
--- a/internal/consensus/store/load.go
+++ b/internal/consensus/store/load.go
@@ -185,7 +185,9 @@
 		if err := proto.Unmarshal(rec.payload, &m); err != nil {
 			return corrupt("hard state: %w", err)
 		}
-		r.state.Hard = consensus.HardState{Term: m.GetTerm(), Vote: consensus.MemberID(m.GetVote())}
+		r.state.Hard = consensus.HardState{
+			Term: m.GetTerm(), Vote: consensus.MemberID(m.GetVote()), Commit: m.GetCommit(),
+		}
 		r.log.hard = r.state.Hard
 	case recordEntry:
 		return r.applyEntry(rec.payload)
--- a/internal/consensus/store/log.go
+++ b/internal/consensus/store/log.go
@@ -235,5 +235,5 @@
 }
 
 func encodeHard(h consensus.HardState) *pb.HardState {
-	return &pb.HardState{Term: h.Term, Vote: string(h.Vote)}
+	return &pb.HardState{Term: h.Term, Vote: string(h.Vote), Commit: h.Commit}
 }
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -99,6 +99,9 @@
 type HardState struct {
 	Term uint64
 	Vote MemberID // empty: no vote in this term
+	// Commit is an entry up to which the log was known to be committed. It lags and may be 0; a member that starts applies
+	// the entries up to it before it hears of a leader.
+	Commit uint64
 }
 
 // Snapshot is the state after an entry.
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -249,6 +249,9 @@
 		case <-ticker.C:
 			a.mu.Lock()
 			a.machine.Expire(a.now())
+			if a.dropProvisional() {
+				a.machine.SetTable(nil)
+			}
 			a.machine.SetUpstream(a.tracker.Upstream(time.Now()), false)
 			a.mu.Unlock()
 		}
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -60,11 +60,13 @@
 	client  *roster.Client
 	started time.Time
 
-	mu      sync.Mutex // guards the machine of the role as well
-	table   *passthrough.Table
-	settled bool
-	leaving bool
-	seen    rosterSummary
+	mu    sync.Mutex // guards the machine of the role as well
+	table *passthrough.Table
+	// provisional says that the table is of a control VM that had not heard its leader.
+	provisional bool
+	settled     bool
+	leaving     bool
+	seen        rosterSummary
 }
 
 // rosterSummary is what is logged of a roster when it changes.
@@ -98,7 +100,7 @@
 
 // adopt puts the declaration of a view in force if it is newer, and returns the table if it changed.
 func (l *link) adopt(v roster.View) *passthrough.Table {
-	if len(v.Declaration) == 0 {
+	if !l.trust(v) || len(v.Declaration) == 0 {
 		return nil
 	}
 	content, err := declared.Unpack(v.Declaration)
@@ -116,10 +118,43 @@
 		return nil
 	}
 	l.table = t
-	_ = l.cfg.Logger.Log("event", "declaration_in_force", "version", t.Version, "routes", len(t.Routes), "from", v.From)
+	_ = l.cfg.Logger.Log("event", "declaration_in_force", "version", t.Version, "routes", len(t.Routes), "from", v.From,
+		"provisional", l.provisional)
 	return t
 }
 
+// provisionalFor is how long after its start a process may work by the declaration of a control VM that does not hear a
+// leader. After a loss of all power that is the newest one but for the last change, and callers are served sooner; beyond
+// an election the control VM may be cut off and its declaration old.
+const provisionalFor = 3 * time.Second
+
+// trust reports whether the declaration of a view may be used, and remembers whether only for a while. A newer declaration
+// than the one in force may always be used, since control VMs apply only what is committed; the first one of a process may
+// be old.
+func (l *link) trust(v roster.View) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case v.Current:
+		l.provisional = false
+	case l.table == nil:
+		l.provisional = time.Since(l.started) < provisionalFor
+		return l.provisional
+	}
+	return true
+}
+
+// dropProvisional gives up a declaration that no control VM with a leader has confirmed in time. It reports whether there
+// was one. The caller holds mu.
+func (l *link) dropProvisional() bool {
+	if !l.provisional || l.table == nil || time.Since(l.started) < provisionalFor {
+		return false
+	}
+	_ = l.cfg.Logger.Log("event", "declaration_dropped", "version", l.table.Version, "reason", "not_confirmed")
+	l.table = nil
+	return true
+}
+
 func (l *link) version() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -252,9 +252,17 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			e.mu.Lock()
-			e.machine.Expire(e.now())
-			e.mu.Unlock()
+			e.sweep()
 		}
 	}
 }
+
+// sweep forgets what is too old.
+func (e *Entry) sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.machine.Expire(e.now())
+	if e.dropProvisional() {
+		e.machine.SetTable(nil)
+	}
+}
--- a/internal/forwarder/waiting_test.go
+++ b/internal/forwarder/waiting_test.go
@@ -128,3 +128,50 @@
 	}
 	g.Expect(w.bytes).To(gomega.And(gomega.BeNumerically("<=", maxWaitingBytes), gomega.BeNumerically(">", maxWaitingBytes-len(packet))))
 }
+
+// After a loss of all power a process may work by the declaration of a control VM that has no leader yet, but not for long:
+// a control VM that is cut off would lead callers by an old declaration. What a leader has confirmed stays.
+func TestUnconfirmedDeclarationIsDropped(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		confirmed bool
+		late      bool
+		first     bool // in force when the view arrives
+		after     bool // in force when provisionalFor has passed
+	}{
+		{"no leader", false, false, true, false},
+		{"leader", true, false, true, true},
+		{"no leader, long after the start", false, true, false, false},
+		{"leader, long after the start", true, true, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			e, _, agent := startedEntry(t)
+			if c.late {
+				e.started = e.started.Add(-2 * provisionalFor)
+			}
+			v := view(t, true, true, agent)
+			v.Current = c.confirmed
+			e.update(v)
+			g.Expect(e.Ready()).To(gomega.Equal(c.first))
+			e.started = e.started.Add(-2 * provisionalFor)
+			e.sweep()
+			g.Expect(e.Ready()).To(gomega.Equal(c.after))
+		})
+	}
+}
+
+// A view of a control VM without a leader that brings a newer declaration must be used: it is committed. One that brings
+// none must not end the trust in what a leader has confirmed.
+func TestConfirmedDeclarationStaysWithoutALeader(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e, _, agent := startedEntry(t)
+	v := view(t, true, true, agent)
+	v.Current = true
+	e.update(v)
+	v.Current, v.Declaration = false, nil
+	e.update(v)
+	e.started = e.started.Add(-2 * provisionalFor)
+	e.sweep()
+	g.Expect(e.Ready()).To(gomega.BeTrue())
+}
--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -23,6 +23,7 @@
 	Records     []Record
 	Settled     bool
 	Quiet       bool
+	Current     bool // the control VM hears the leader of its group
 	Version     uint64
 	Declaration []byte // set if newer than the one held
 	From        netip.AddrPort
@@ -47,6 +48,9 @@
 	cfg  ClientConfig
 	wake chan struct{}
 
+	connecting sync.Mutex               // held by connect
+	tried      map[netip.AddrPort]*link // open links to control VMs that do not hear a leader; guarded by connecting
+
 	mu       sync.Mutex
 	seeds    []netip.AddrPort
 	known    []netip.AddrPort // control VMs of the last roster, nearest first
@@ -65,7 +69,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = new(net.Dialer).DialContext
 	}
-	return &Client{cfg: cfg, seeds: cfg.Seeds, wake: make(chan struct{}, 1)}
+	return &Client{cfg: cfg, seeds: cfg.Seeds, wake: make(chan struct{}, 1), tried: map[netip.AddrPort]*link{}}
 }
 
 // SetSeeds replaces the seeds after a reload.
@@ -202,9 +206,11 @@
 	err      error
 }
 
-// connect asks all known control VMs and uses the first one that hears its leader. If none does, what the last one knows
-// is taken all the same, and the caller tries again.
+// connect asks all known control VMs and uses the first one that hears its leader. If none does, what the one with the
+// newest declaration knows is taken all the same, and the caller tries again.
 func (c *Client) connect(ctx context.Context) bool {
+	c.connecting.Lock()
+	defer c.connecting.Unlock()
 	patience, dial := c.patience()
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
@@ -212,8 +218,12 @@
 	answers := make(chan answer, len(controls))
 	request := c.request()
 	for _, at := range controls {
+		l := c.tried[at]
+		if l == nil {
+			l = c.newLink(at, dial)
+			c.tried[at] = l
+		}
 		go func() {
-			l := c.newLink(at, dial)
 			response, err := l.client.Sync(ctx, request)
 			answers <- answer{l, response, err}
 		}()
@@ -224,13 +234,15 @@
 		switch {
 		case a.err != nil:
 			a.link.close()
+			delete(c.tried, a.link.at)
 		case a.response.GetCurrent():
 			c.use(a.link)
 			c.accept(a.link.at, a.response)
 			return true
 		default:
-			a.link.close()
-			other = &a
+			if other == nil || a.response.GetDeclared() > other.response.GetDeclared() {
+				other = &a
+			}
 		}
 	}
 	if other != nil {
@@ -261,6 +273,12 @@
 }
 
 func (c *Client) use(l *link) {
+	for at, other := range c.tried {
+		if other != l {
+			other.close()
+		}
+		delete(c.tried, at)
+	}
 	c.mu.Lock()
 	c.link, c.attempts = l, 0
 	regained := c.lost
@@ -292,7 +310,7 @@
 }
 
 func (c *Client) accept(at netip.AddrPort, response *pb.SyncResponse) {
-	v := View{Settled: response.GetSettled(), Quiet: response.GetQuiet(), Version: response.GetDeclared(), Declaration: response.GetDeclaration(), From: at}
+	v := View{Settled: response.GetSettled(), Quiet: response.GetQuiet(), Current: response.GetCurrent(), Version: response.GetDeclared(), Declaration: response.GetDeclaration(), From: at}
 	var controls []Record
 	for _, m := range response.GetRecords() {
 		r := FromWire(m)
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -120,11 +120,12 @@
 	return s.early || now.Sub(s.started) >= settling
 }
 
-// Quiet reports whether no unknown agent has reported for a while, or the store is settled.
+// Quiet reports whether new flows may be placed: no unknown agent has reported for a while, all agents in the lists that
+// are here have, or the store is settled. An agent that is missing costs balance, not more.
 func (s *Store) Quiet(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.grown) >= quietAfter || s.settled(now)
+	return now.Sub(s.grown) >= quietAfter || s.settled(now) || len(s.lists) > 0 && s.reported()
 }
 
 // remember adds the list of agents that a control VM knew before it started.
@@ -143,14 +144,17 @@
 	}
 }
 
-// complete reports whether every agent that a majority of the control VMs remembers has reported since the start of this
-// one. The lists of a minority may be old. An upstream that took no new flows before may be gone with the cause of the
-// restart: it is not waited for if every other one has started anew. The caller holds mu.
+// complete reports whether every agent that a majority of the control VMs remembers has reported. The lists of a minority
+// may be old. The caller holds mu.
 func (s *Store) complete() bool {
 	need := s.quorum()
-	if need == 0 || len(s.lists) < need {
-		return false
-	}
+	return need > 0 && len(s.lists) >= need && s.reported()
+}
+
+// reported reports whether every agent in the lists has reported since the start of this control VM. An upstream that
+// took no new flows before may be gone with the cause of the restart: it is not waited for if every other one has started
+// anew. The caller holds mu.
+func (s *Store) reported() bool {
 	missing, same, anew := 0, 0, 0
 	for address, before := range s.remembered {
 		if before.state == StateVacant {
