Tell processes only what changed in the roster

Ways weighed: a slower pace (later news of dead agents), a sample of agents per entry (worse balance, longer searches), numbered changes: chosen. Change: control VMs number the changes that matter to forwarding; a process names the last one it knows; a silent process is told in steps of missed reports; whole rosters only for strangers and after pauses of 30 s. TestReplicaFollowsTheStore compares both under lost answers and pauses.

--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -60,6 +60,7 @@
 	last     []Record         // of the last settled roster
 	lastAt   time.Time        // when it arrived
 	teach    bool             // the control VM in use has just started
+	roster   replica          // what was told, as of the last answer
 	settled  bool             // the last answer was complete
 	records  int              // in the last answer
 }
@@ -290,7 +291,11 @@
 }
 
 func (c *Client) request() *pb.SyncRequest {
-	return &pb.SyncRequest{Self: ToWire(c.cfg.Self()), Declared: c.cfg.Held(), Known: c.lesson()}
+	request := &pb.SyncRequest{Self: ToWire(c.cfg.Self()), Declared: c.cfg.Held(), Known: c.lesson()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	request.Feed, request.Position = c.roster.position.Feed, c.roster.position.Change
+	return request
 }
 
 // lesson returns what this process knows of others, for a control VM that has just started.
@@ -311,10 +316,12 @@
 
 func (c *Client) accept(at netip.AddrPort, response *pb.SyncResponse) {
 	v := View{Settled: response.GetSettled(), Quiet: response.GetQuiet(), Current: response.GetCurrent(), Version: response.GetDeclared(), Declaration: response.GetDeclaration(), From: at}
+	c.mu.Lock()
+	c.roster.apply(time.Now(), response)
+	v.Records = c.roster.list(time.Now())
+	c.mu.Unlock()
 	var controls []Record
-	for _, m := range response.GetRecords() {
-		r := FromWire(m)
-		v.Records = append(v.Records, r)
+	for _, r := range v.Records {
 		if r.Kind == KindControl && !r.Leaving {
 			controls = append(controls, r)
 		}
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -18,13 +18,14 @@
 // Server implements the Roster service of a control VM.
 type Server struct {
 	store        *Store
+	feed         *feed
 	declarations Declarations
 	now          func() time.Time
 }
 
 // NewServer returns a server of the store.
 func NewServer(store *Store, d Declarations, now func() time.Time) *Server {
-	return &Server{store: store, declarations: d, now: now}
+	return &Server{store: store, feed: newFeed(), declarations: d, now: now}
 }
 
 // Sync implements the twirp service.
@@ -46,10 +47,11 @@
 	if version > request.GetDeclared() {
 		response.Declaration = content
 	}
-	for _, r := range s.store.List(now) {
-		if r.Kind != KindEntry {
-			response.Records = append(response.Records, ToWire(r))
-		}
+	n := s.feed.since(now, Position{request.GetFeed(), request.GetPosition()}, s.store.List)
+	response.Feed, response.Position, response.Partial = n.position.Feed, n.position.Change, !n.whole
+	response.Records = wireRecords(n.records)
+	for _, k := range n.removed {
+		response.Removed = append(response.Removed, &pb.Record{Kind: uint32(k.kind), Address: k.address})
 	}
 	return response, nil
 }
