Harm the connections to control VMs in the soak through a proxy

What a silent wire has held up is lost with its connection. Not covered: datagrams between the system's processes, clocks, storage other than lost disks.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -25,8 +25,9 @@
 // Config holds what an authority needs.
 type Config struct {
 	Name      string
-	Domain    string // failure domain
-	Self      netip.AddrPort
+	Domain    string         // failure domain
+	Self      netip.AddrPort // where other processes call this one
+	Listen    netip.AddrPort // where it takes calls; Self if not set
 	DataDir   string
 	Founder   bool
 	Seeds     []netip.AddrPort
@@ -180,7 +181,11 @@
 
 // Run serves until ctx is done.
 func (a *Authority) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp4", a.cfg.Self.String())
+	at := a.cfg.Listen
+	if !at.IsValid() {
+		at = a.cfg.Self
+	}
+	listener, err := net.Listen("tcp4", at.String())
 	if err != nil {
 		return err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -28,6 +28,7 @@
 	options
 	site      *standin.Site
 	processes map[string]*process
+	proxies   map[string]*proxy // by core machine
 	random    *rand.Rand
 	busy      sync.Map // machines with a fault under way
 	cores     sync.Mutex
@@ -56,11 +57,22 @@
 func newSoak(o options, folder string) (*soak, error) {
 	site, err := standin.New(standin.Config{
 		Folder: folder, Network: o.Network, Edges: o.Edges, Sides: o.Sides, Cores: o.Cores, Callers: o.Callers, Loss: o.Loss,
+		Proxied: true,
 	})
 	if err != nil {
 		return nil, err
 	}
-	s := &soak{options: o, site: site, processes: map[string]*process{}, random: rand.New(rand.NewPCG(o.Seed, 1))}
+	s := &soak{options: o, site: site, processes: map[string]*process{}, proxies: map[string]*proxy{},
+		random: rand.New(rand.NewPCG(o.Seed, 1))}
+	for _, m := range site.Machines {
+		if m.Class != "core" {
+			continue
+		}
+		if s.proxies[m.Name], err = newProxy(m); err != nil {
+			s.end()
+			return nil, err
+		}
+	}
 	for _, m := range site.Machines {
 		p, err := newProcess(o.Daemon, folder, site, m)
 		if err == nil {
@@ -158,6 +170,14 @@
 		p.signal(syscall.SIGCONT)
 		return nil
 	}
+	harm := func(w wire) func(p *process) error {
+		return func(p *process) error {
+			s.proxies[p.machine.Name].set(w)
+			time.Sleep(away)
+			s.proxies[p.machine.Name].set(wireGood)
+			return nil
+		}
+	}
 	kill := func(p *process) error { return p.restart(syscall.SIGKILL, away) }
 	stop := func(p *process) error { return p.restart(syscall.SIGTERM, 0) }
 	return []fault{
@@ -166,6 +186,8 @@
 		{"freeze", "edge", freeze}, {"freeze", "side", freeze}, {"freeze", "core", freeze},
 		{"wipe", "core", s.wipe}, {"crash host", "side", s.crashHost}, {"drain host", "side", s.drainHost},
 		{"hang up", "edge", hangUp}, {"hang up", "core", hangUp},
+		{"slow wire", "core", harm(wireSlow)}, {"silent wire", "core", harm(wireSilent)},
+		{"half wire", "core", harm(wireHalf)}, {"refusing wire", "core", harm(wireRefusing)},
 	}
 }
 
@@ -249,6 +271,11 @@
 // end stops everything that was started.
 func (s *soak) end() {
 	s.site.Stop()
+	for _, p := range s.proxies {
+		if p != nil {
+			p.close()
+		}
+	}
 	for _, p := range s.processes {
 		p.stop(syscall.SIGKILL)
 		_ = p.log.Close() // nothing reads it any more
