--- a/soak/main.go
+++ b/soak/main.go
@@ -9,19 +9,24 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/plantainseam/plantainseam/platform/standin"
 )
 
 type options struct {
-	Seed    uint64  `long:"seed" default:"1" description:"seed of the faults and of the callers"`
-	Seconds int     `long:"seconds" default:"30" description:"how long faults are injected"`
-	Edges   int     `long:"edges" default:"3" description:"entry processes"`
-	Sides   int     `long:"sides" default:"6" description:"agent processes"`
-	Cores   int     `long:"cores" default:"5" description:"control processes"`
-	Callers int     `long:"callers" default:"6" description:"callers; each keeps two flows open"`
-	Loss    float64 `long:"loss" default:"0.002" description:"share of callers' packets that get lost"`
-	Network byte    `long:"network" default:"90" description:"second byte of the loopback addresses"`
-	Daemon  string  `long:"daemon" default:"target/plantainseamd" description:"program to run"`
-	Keep    string  `long:"keep" description:"folder that keeps logs and the time line after a violation"`
+	Seed    uint64        `long:"seed" default:"1" description:"seed of the faults and of the callers"`
+	Seconds int           `long:"seconds" default:"30" description:"how long faults are injected"`
+	Edges   int           `long:"edges" default:"3" description:"entry processes"`
+	Sides   int           `long:"sides" default:"6" description:"agent processes"`
+	Cores   int           `long:"cores" default:"5" description:"control processes"`
+	Callers int           `long:"callers" default:"6" description:"callers; each keeps two flows open"`
+	Loss    float64       `long:"loss" default:"0.002" description:"share of callers' packets that get lost"`
+	Network byte          `long:"network" default:"90" description:"second byte of the loopback addresses"`
+	Daemon  string        `long:"daemon" default:"target/plantainseamd" description:"program to run"`
+	Model   standin.Model `no-flag:"true"`
+	Plan    string        `long:"experiment" value-name:"FILE" description:"play a load described in YAML instead of faults, and vary one parameter"`
+	Results string        `long:"results" default:"docs/experiments" description:"folder for the results of an experiment"`
+	Keep    string        `long:"keep" description:"folder that keeps logs and the time line after a violation"`
 }
 
 // Exit statuses.
@@ -40,6 +45,17 @@
 		}
 		os.Exit(exitUsage)
 	}
+	if o.Plan != "" {
+		e, err := readExperiment(o.Plan)
+		if err == nil {
+			err = runExperiment(e, o.Daemon, o.Results, os.Stdout)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "soak:", err)
+			os.Exit(exitFault)
+		}
+		return
+	}
 	started := time.Now()
 	violations, err := run(o)
 	if err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -57,7 +57,7 @@
 func newSoak(o options, folder string) (*soak, error) {
 	site, err := standin.New(standin.Config{
 		Folder: folder, Network: o.Network, Edges: o.Edges, Sides: o.Sides, Cores: o.Cores, Callers: o.Callers, Loss: o.Loss,
-		Proxied: true,
+		Proxied: true, Model: o.Model,
 	})
 	if err != nil {
 		return nil, err
