Number the reports of a process

It had sent a report to several control VMs before it heard its upstream; that arrived at one of them after the next report had arrived at another, and the report heard last holds. Ruled out: the upstream (it announces itself once), a restart (no start). Change: a report carries a number and names the start of its process; a lower number of the same start never holds.

--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -71,6 +71,7 @@
 	if a.table != nil {
 		r.Version = a.table.Version
 	}
+	a.number(&r)
 	return r
 }
 
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -3,6 +3,7 @@
 package forwarder
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -59,6 +60,7 @@
 	cfg     Config
 	client  *roster.Client
 	started time.Time
+	process uint64 // names this start in reports
 
 	mu    sync.Mutex // guards the machine of the role as well
 	table *passthrough.Table
@@ -66,6 +68,7 @@
 	provisional bool
 	settled     bool
 	leaving     bool
+	reports     uint64 // made so far
 	seen        rosterSummary
 }
 
@@ -91,8 +94,13 @@
 }
 
 func newLink(cfg Config) *link {
-	l := &link{cfg: cfg, started: time.Now()}
-	return l
+	return &link{cfg: cfg, started: time.Now(), process: rand.Uint64() | 1}
+}
+
+// number numbers a report. The caller holds mu.
+func (l *link) number(r *roster.Record) {
+	l.reports++
+	r.Process, r.Sequence = l.process, l.reports
 }
 
 // now returns the time of the machines: milliseconds since the start of the process on the steady clock.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -54,6 +54,7 @@
 	if e.table != nil {
 		r.Version = e.table.Version
 	}
+	e.number(&r)
 	return r
 }
 
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -98,6 +98,7 @@
 		if r.Kind == KindEntry {
 			continue // nobody looks up entries
 		}
+		r.Process, r.Sequence = 0, 0 // of use to control VMs only
 		k := key{r.Kind, addressBits(r.Address)}
 		listed[k] = struct{}{}
 		old, known := f.told[k]
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -48,6 +48,8 @@
 	Version       uint64 // declaration in force
 	Leaving       bool
 	Incarnation   uint64        // names the start of an agent's upstream
+	Process       uint64        // names the start of the reporting process; 0 if it does not count its reports
+	Sequence      uint64        // number of its report
 	Age           time.Duration // since the process was heard by a control VM
 }
 
@@ -74,6 +76,7 @@
 		FailureDomain: r.FailureDomain, Service: r.Service, State: uint32(r.State), Slots: r.Slots,
 		Flows: r.Flows, Busy: r.Busy, WarmupMs: milliseconds(r.Warmup), AgeMs: milliseconds(r.Age),
 		Version: r.Version, Leaving: r.Leaving, Incarnation: r.Incarnation,
+		Process: r.Process, Sequence: r.Sequence,
 	}
 }
 
@@ -84,7 +87,7 @@
 		FailureDomain: m.GetFailureDomain(), Service: m.GetService(), State: State(m.GetState()), Slots: m.GetSlots(),
 		Flows: m.GetFlows(), Busy: m.GetBusy(), Warmup: time.Duration(m.GetWarmupMs()) * time.Millisecond,
 		Age: time.Duration(m.GetAgeMs()) * time.Millisecond, Version: m.GetVersion(), Leaving: m.GetLeaving(),
-		Incarnation: m.GetIncarnation(),
+		Incarnation: m.GetIncarnation(), Process: m.GetProcess(), Sequence: m.GetSequence(),
 	}
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -35,6 +35,37 @@
 	g.Expect(list[0].Age).To(gomega.Equal(200 * time.Millisecond))
 }
 
+// A report that was overtaken by a newer one of the same process must not hold, whichever arrives last and whichever way it
+// came; a process that has started anew counts from the beginning. (Found in seomra-iarratas inc-e2a7: a report from before
+// the upstream was heard held for 0.4 s.)
+func TestOvertakenReportDoesNotHold(t *testing.T) {
+	numbered := func(process, sequence uint64, flows uint32, age time.Duration) roster.Record {
+		r := agent(1, flows)
+		r.Process, r.Sequence, r.Age = process, sequence, age
+		return r
+	}
+	for _, c := range []struct {
+		name    string
+		records []roster.Record // 100 ms apart
+		flows   uint32
+	}{
+		{"late report", []roster.Record{numbered(7, 2, 20, 0), numbered(7, 1, 10, 0)}, 20},
+		{"late report by another control VM", []roster.Record{numbered(7, 2, 20, 0), numbered(7, 1, 10, 50*time.Millisecond)}, 20},
+		{"newer report by another control VM that heard it first", []roster.Record{numbered(7, 1, 10, 0), numbered(7, 2, 20, 300*time.Millisecond)}, 20},
+		{"new start", []roster.Record{numbered(7, 9, 20, 0), numbered(8, 1, 30, 0)}, 30},
+		{"old start by another control VM", []roster.Record{numbered(8, 1, 30, 0), numbered(7, 9, 20, 300*time.Millisecond)}, 30},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := roster.NewStore(start, noQuorum)
+			for i, r := range c.records {
+				s.Put(start.Add(time.Duration(i)*100*time.Millisecond), r)
+			}
+			g.Expect(s.List(start.Add(time.Second))[0].Flows).To(gomega.Equal(c.flows))
+		})
+	}
+}
+
 // A silent process stays for longer than a freeze lasts, because a packet for its flows must not be answered with a reset.
 // One that stops without an upstream goes soon, one that restarts beside a living upstream does not.
 func TestExpiry(t *testing.T) {
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// Put stores records. The one that was heard last holds.
+// Put stores records. Of one process the one with the highest number holds, and otherwise the one that was heard last.
 func (s *Store) Put(now time.Time, records ...Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -77,7 +77,7 @@
 		k := key{r.Kind, addressBits(r.Address)}
 		heard := now.Add(-r.Age)
 		old, ok := s.records[k]
-		if ok && old.heard.After(heard) {
+		if ok && overtaken(r, heard, old) {
 			continue
 		}
 		if !ok && r.Kind == KindAgent {
@@ -87,6 +87,15 @@
 	}
 }
 
+// overtaken reports whether a record is older than the one that is kept. A report that is sent to several control VMs may
+// arrive at one of them after the next report has arrived elsewhere.
+func overtaken(r Record, heard time.Time, old kept) bool {
+	if r.Process != 0 && r.Process == old.record.Process && r.Sequence != old.record.Sequence {
+		return r.Sequence < old.record.Sequence
+	}
+	return old.heard.After(heard)
+}
+
 // List returns all records that have not expired.
 func (s *Store) List(now time.Time) []Record {
 	s.mu.Lock()
