--- /dev/null
+++ b/internal/passthrough/search_test.go
@@ -0,0 +1,274 @@
+package passthrough
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// A search must become a direct path as soon as the host answers, or every packet after a change of the fabric's hash
+// would visit several hosts.
+func TestSearchBecomesDirect(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(2, 7)
+	at := n.mustHold(t, 0, 1)
+	n.entries[1] = NewEntry(tunnel(201), "d")
+	n.publish()
+	n.reaches(t, 1, 1, at)
+	n.reaches(t, 1, 1, at)
+	g.Expect(n.visits).To(gomega.Equal(1))
+}
+
+// One agent that does not answer must not hide the holder of a flow behind it: a new entry finds the holder with the
+// caller's first repeat. (Found by a hunt: for 2.7 s the packets of an open flow reached other hosts and none its own.)
+func TestSearchPassesASilentAgent(t *testing.T) {
+	for silent := range 7 {
+		n := newNetwork(2, 7)
+		holders := map[int]Endpoint{}
+		for i := range 40 {
+			holders[i] = n.mustHold(t, 0, i)
+		}
+		n.down[tunnel(silent+1)] = true
+		for i, at := range holders {
+			if n.down[at] {
+				continue
+			}
+			if got, ok := n.send(1, data(i)); ok && got == at {
+				continue
+			}
+			n.now += 200
+			n.reaches(t, 1, i, at)
+			n.reaches(t, 1, i, at)
+		}
+	}
+}
+
+// An entry that remembers the wrong agent must find the right one although an agent between them does not answer. Two
+// upstreams can answer the copies of one opening packet; the caller then uses either.
+func TestWrongMemoryIsCorrected(t *testing.T) {
+	for i := range 40 {
+		for silent := range 7 {
+			n := newNetwork(1, 7)
+			for j := range i {
+				n.mustHold(t, 0, 1000+j) // moves flow i away from its highest-ranked host
+			}
+			n.publish()
+			at := n.mustHold(t, 0, i)
+			wrong := tunnel(1 + (i+silent)%7)
+			if wrong == at || tunnel(silent+1) == at || tunnel(silent+1) == wrong {
+				continue
+			}
+			n.entries[0].Holds(n.now, wrong, Holds{Flow: caller(i)})
+			n.down[tunnel(silent+1)] = true
+			n.send(0, data(i))
+			n.now += 200
+			n.reaches(t, 0, i, at)
+			n.reaches(t, 0, i, at)
+			if n.visits != 1 {
+				t.Fatalf("the last packet of flow %d visited %d hosts", i, n.visits)
+			}
+		}
+	}
+}
+
+// A search must reach every agent of a large deployment before a caller is told that its flow is gone, also one whose
+// service the route has lost and which therefore comes last. (Found on seomra-iarratas-grown trouble-1: with 71 agents the
+// search ended after 64 and three open flows were reset. With 200 agents a search over all others took too long: a lost
+// packet ended it, and the holder was in the last group that the entry asked, after 4 s.)
+func TestSearchOfManyAgents(t *testing.T) {
+	leads := func(version uint64, service string) *Table {
+		return &Table{Version: version, Routes: map[Endpoint]*Route{front: NewRoute("r", []Target{{service, 1}})}}
+	}
+	for _, agents := range []int{60, 64, 65, 80, 300} {
+		n := newNetwork(2, agents)
+		for i := range 3 {
+			n.addAgent(tunnel(1000+i), "old")
+		}
+		n.table = leads(2, "old")
+		n.publish()
+		holders := map[int]Endpoint{}
+		for i := range 20 {
+			holders[i] = n.mustHold(t, 0, i)
+		}
+		n.table = leads(3, "s")
+		n.entries[1] = NewEntry(tunnel(2001), "d")
+		n.publish()
+		for i, at := range holders {
+			n.reaches(t, 1, i, at)
+			if n.visits > 2*rankedFirst+1 {
+				t.Fatalf("%d agents: the packet of flow %d visited %d hosts", agents, i, n.visits)
+			}
+		}
+		n.send(1, data(99))
+		if len(n.resets) != 1 || n.resets[0] != caller(99) {
+			t.Fatalf("%d agents: resets %v", agents, n.resets)
+		}
+	}
+}
+
+// A packet of a lost flow visits every agent before its caller is told. It must not cross between failure domains at each
+// hop. (Measured on seomra-iarratas-grown: 50 hops of 5 ms before a reset.)
+func TestSearchOfALostFlowRarelyCrossesDomains(t *testing.T) {
+	const agents, domains = 50, 5
+	var peers []Peer
+	for i := range agents {
+		peers = append(peers, Peer{Tunnel: tunnel(i + 1), Domain: string(rune('a' + i%domains)), Service: "s", Active: true})
+	}
+	r := NewRoster(peers, true)
+	route := NewRoute("r", []Target{{"s", 1}})
+	for flow := range 40 {
+		at, crossings := "a", 0
+		var visited []Endpoint
+		for {
+			c := chooser{domain: at}
+			p := c.next(r, caller(flow), route, visited)
+			if p == nil {
+				break
+			}
+			if p.Domain != at {
+				crossings++
+			}
+			at = p.Domain
+			visited = append(visited, p.Tunnel)
+		}
+		if len(visited) != agents || crossings > rankedFirst+domains {
+			t.Fatalf("flow %d: %d agents visited, %d crossings", flow, len(visited), crossings)
+		}
+	}
+}
+
+// A host that is closing a flow still holds it: an entry that finds it there must remember it. (Found on the grown sites:
+// the host had sent its FIN, entries were not told, and for 3.2 s the caller's packets reached other hosts only.)
+func TestClosingFlowIsFoundOnce(t *testing.T) {
+	n := newNetwork(2, 60)
+	holders := map[int]Endpoint{}
+	for i := range 40 {
+		holders[i] = n.mustHold(t, 0, i)
+		n.agents[holders[i]].FromHost(n.now, Segment{Flow: caller(i), Ack: true, Fin: true})
+	}
+	n.entries[1] = NewEntry(tunnel(201), "d")
+	n.publish()
+	for i, at := range holders {
+		n.reaches(t, 1, i, at)
+		n.reaches(t, 1, i, at)
+		if n.visits != 1 {
+			t.Fatalf("the second packet of flow %d visited %d hosts", i, n.visits)
+		}
+	}
+}
+
+// Many searches at once must not use up an entry: it keeps to its budget and goes on with the cheap search. (Found on the
+// grown sites: 1,000 questions a second to 54 agents each left entries of 0.2 of a core without time for anything else.)
+func TestAskingKeepsToItsBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 52)
+	e := n.entries[0]
+	sent := 0
+	for ms := int64(0); ms < 2000; ms += 10 {
+		for i := range 300 {
+			if d := e.Packet(ms, data(i)); d.Verdict == ToSeveral {
+				sent += len(d.Peers)
+			}
+		}
+	}
+	g.Expect(sent).To(gomega.BeNumerically(">", askRate))
+	g.Expect(sent).To(gomega.BeNumerically("<=", 3*askRate))
+}
+
+// An agent that has been silent for a while must not stand between a packet and the holder of its flow: the first packet
+// gets there without a question to many. (Found on the grown sites: one agent that had died blocked every search for 12 s.)
+func TestSilentAgentsAreSearchedLast(t *testing.T) {
+	n := newNetwork(2, 9)
+	holders := map[int]Endpoint{}
+	for i := range 60 {
+		holders[i] = n.mustHold(t, 0, i)
+	}
+	silent := tunnel(5)
+	n.down[silent], n.age[silent] = true, freshMs
+	n.publish()
+	for i, at := range holders {
+		if at != silent {
+			n.reaches(t, 1, i, at)
+		}
+	}
+}
+
+// After a common start no agent has heard its upstream, and each delivers a packet and passes it on. The packet must visit
+// each host once. (Found on the grown sites: each host's return was passed on as well, so that searches doubled at every
+// agent and took 1.7 GB between failure domains in a minute.)
+func TestSearchAfterCommonStartVisitsEachHostOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, 12)
+	for _, at := range n.order {
+		n.agents[at] = NewAgent(at, "d")
+	}
+	n.settled = false
+	n.publish()
+	n.send(0, data(1))
+	g.Expect(n.deliveries).To(gomega.Equal(12))
+}
+
+// An agent without an upstream swallows packets, since nobody is there to return them. It must not hide the holder of a
+// flow, nor keep callers of lost flows from being told, whether it is new or not. (Found on the grown sites: 9 such agents
+// after a loss of power, RECOVER broken on three days.)
+func TestAgentWithoutUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		age    int64
+		resets int
+	}{{"just started", 100, 0}, {"old", presumeMs, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newNetwork(2, 7)
+			holders := map[int]Endpoint{}
+			for i := range 40 {
+				holders[i] = n.mustHold(t, 0, i)
+			}
+			empty := tunnel(4)
+			n.hosts[empty].absent = true
+			n.agents[empty] = NewAgent(empty, "d")
+			n.now = c.age
+			n.publish()
+			for i, at := range holders {
+				if at != empty {
+					n.reaches(t, 1, i, at)
+				}
+			}
+			g.Expect(n.resets).To(gomega.BeEmpty())
+			n.send(1, data(500))
+			g.Expect(n.resets).To(gomega.HaveLen(c.resets))
+		})
+	}
+}
+
+// A reset tells the caller that the flow is gone. It must be sent when every live upstream has returned the packet, and
+// never on the word of a roster that may lack an agent.
+func TestResetOnlyWhenHeldNowhere(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		settled bool
+		down    bool
+		age     int64 // of the report of the agent that does not answer
+		resets  int
+	}{
+		{"every upstream returned it", true, false, 0, 1},
+		{"the roster may lack agents", false, false, 0, 0},
+		{"an agent does not answer", true, true, 0, 0},
+		{"an agent has been silent for a while", true, true, lostMs - 1, 0},
+		{"an agent has been silent for long", true, true, lostMs, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			n := newNetwork(1, 5)
+			n.settled = c.settled
+			n.publish()
+			if c.down {
+				n.down[tunnel(3)], n.age[tunnel(3)] = true, c.age
+				n.publish()
+			}
+			_, ok := n.send(0, data(9))
+			g.Expect(ok).To(gomega.BeFalse())
+			g.Expect(n.resets).To(gomega.HaveLen(c.resets))
+		})
+	}
+}
--- a/tools/journalplot/main.go
+++ b/tools/journalplot/main.go
@@ -29,6 +29,8 @@
 const (
 	width  = 9 * vg.Inch
 	height = 4.5 * vg.Inch
+	// legendRoom leaves the right quarter of a picture to the legend.
+	legendRoom = 1.3
 )
 
 // entry is the part of a journal entry that is drawn.
@@ -149,7 +151,6 @@
 	p.Title.Text = site
 	p.X.Label.Text = "whole runs, oldest first"
 	p.Y.Label.Text = "worth of a day, score of the site"
-	p.Legend.Top, p.Legend.Left = false, true
 	var series []any
 	var scores plotter.XYs
 	for i, r := range rounds {
@@ -168,6 +169,7 @@
 	if err := plotutil.AddLinePoints(p, series...); err != nil {
 		return err
 	}
+	p.X.Max = legendRoom * float64(len(rounds))
 	return p.Save(width, height, path)
 }
 
