Do not keep a refusal that was given before one VM led all logs

A leader of the catalog that does not lead the bindings' log yet has no progress of that log's members, so all others look unreachable; the plan was refused with plan-last-quorum, and the refusal was kept under the operator's key for ever.

Change: ControlStatus says when another VM leads one of the logs; the planner answers PS4006 members-unsettled, which is not kept, so the same call succeeds afterwards.

Before: TestReplacementWaitsForLeadersOfAllLogs holds the bindings' messages back during the first call: PS5104 until its limit. After: passes, and TestReplaceLeaderOverRealLogs too.

--- a/internal/control/intents.go
+++ b/internal/control/intents.go
@@ -48,7 +48,8 @@
 	return res, nil
 }
 
-// Plan records an intent and its plan. A resend returns the first answer, also when that was a refusal.
+// Plan records an intent and its plan. A resend returns the first answer, also when that was a refusal other than
+// result.MembersUnsettled.
 func (s *IntentsServer) Plan(ctx context.Context, req *intentpb.PlanRequest) (*intentpb.IntentResponse, error) {
 	ctx, cancel, operator, err := s.begin(ctx)
 	defer cancel()
@@ -83,6 +84,9 @@
 	if first != nil || keyErr != nil {
 		return first, keyErr
 	}
+	if result.CodeOf(planErr) == result.MembersUnsettled {
+		return nil, planErr // not kept under the key: the same call succeeds once the leaders are settled
+	}
 	if planErr != nil {
 		cmd.Plan = nil
 		cmd.Code, cmd.Detail = uint32(result.CodeOf(planErr)), detailOf(planErr)
--- a/internal/control/nodelog.go
+++ b/internal/control/nodelog.go
@@ -81,7 +81,8 @@
 	return append(append([]*node.Node(nil), l.others...), l.catalog)
 }
 
-// Status returns the members of the catalog. A member votes and is reachable only if that holds in every log.
+// Status returns the members of the catalog. A member votes and is reachable only if that holds in every log; only a
+// leader knows who is reachable.
 func (l *NodeLog) Status() []planner.ControlStatus {
 	var out []planner.ControlStatus
 	for _, m := range l.catalog.Status().Membership.Members {
@@ -90,6 +91,7 @@
 			status := n.Status()
 			s.Voter = s.Voter && status.Membership.Voter(m.ID)
 			s.Reachable = s.Reachable && active(status, m.ID)
+			s.Unsettled = s.Unsettled || status.Role != consensus.Leader
 		}
 		s.CaughtUp = s.Voter && s.Reachable
 		out = append(out, s)
--- a/internal/control/nodelog_test.go
+++ b/internal/control/nodelog_test.go
@@ -14,13 +14,21 @@
 	"github.com/plantainseam/plantainseam/internal/consensus/store"
 	"github.com/plantainseam/plantainseam/internal/control"
 	"github.com/plantainseam/plantainseam/internal/dissemination"
+	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/rpc/intentpb"
 )
 
-// lan passes messages between the nodes of a test.
+// lan passes messages between the nodes of a test, but for those of the held log.
 type lan struct {
 	mu       sync.Mutex
 	handlers map[string]node.Handler
+	held     string
+}
+
+func (l *lan) hold(log string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = log
 }
 
 type port struct {
@@ -37,8 +45,9 @@
 func (p port) Send(log string, to consensus.Member, messages []consensus.Message) {
 	p.lan.mu.Lock()
 	h := p.lan.handlers[string(to.ID)+log]
+	held := p.lan.held == log
 	p.lan.mu.Unlock()
-	if h != nil {
+	if h != nil && !held {
 		go h(context.Background(), messages)
 	}
 }
@@ -80,69 +89,99 @@
 	return vm
 }
 
-// Guards against a replacement that works over the fake log only: three VMs with real logs on disk replace the VM that
-// leads, the new one votes in both logs, and the plan is finished by another leader.
-func TestReplaceLeaderOverRealLogs(t *testing.T) {
+// vmGroup is three control VMs with both logs and a fourth that is no member yet.
+type vmGroup struct {
+	lan *lan
+	ids []store.Identity
+	vms []*realVM
+}
+
+func newVMGroup(t *testing.T, held string) *vmGroup {
 	g := NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	l := &lan{handlers: map[string]node.Handler{}}
+	d := &vmGroup{lan: &lan{handlers: map[string]node.Handler{}, held: held}}
 	var first []consensus.Member
 	var dirs []string
-	var ids []store.Identity
 	for i := range 4 {
 		dir := t.TempDir()
 		id, err := store.Create(dir, fmt.Sprintf("c%d", i), "catalog", "bindings")
 		g.Expect(err).NotTo(HaveOccurred())
-		dirs, ids = append(dirs, dir), append(ids, id)
+		dirs, d.ids = append(dirs, dir), append(d.ids, id)
 		if i < 3 {
 			first = append(first, consensus.Member{ID: id.ID, Name: id.Name, Address: address(i)})
 		}
 	}
-	var vms []*realVM
 	for i := range 4 {
 		bootstrap := first
 		if i == 3 {
 			bootstrap = nil
 		}
-		vms = append(vms, startRealVM(t, ctx, l, dirs[i], ids[i], bootstrap))
+		d.vms = append(d.vms, startRealVM(t, ctx, d.lan, dirs[i], d.ids[i], bootstrap))
 	}
-	call := func(f func(vm *realVM) *intentpb.IntentResponse) *intentpb.IntentResponse {
-		var res *intentpb.IntentResponse
-		g.Eventually(func() uint32 {
-			for _, vm := range vms {
-				if vm.log.Leading() {
-					res = f(vm)
-					return res.Code
-				}
+	return d
+}
+
+// call asks the leader of the catalog until the answer has one of the codes.
+func (d *vmGroup) call(g *WithT, f func(vm *realVM) *intentpb.IntentResponse, codes ...result.Code) *intentpb.IntentResponse {
+	var res *intentpb.IntentResponse
+	g.Eventually(func() result.Code {
+		for _, vm := range d.vms {
+			if vm.log.Leading() {
+				res = f(vm)
+				return result.Code(res.Code)
 			}
-			return 1
-		}, "30s", "50ms").Should(BeZero())
-		return res
-	}
+		}
+		return result.NotLeader
+	}, "30s", "50ms").Should(BeElementOf(codes))
+	return res
+}
+
+// replace asks for the replacement of a VM by the fourth, always under the same key.
+func (d *vmGroup) replace(vm *realVM, old string) *intentpb.IntentResponse {
+	replace := &intentpb.ReplaceControl{Old: old, New: string(d.ids[3].ID), Address: address(3)}
+	spec := &intentpb.Spec{Want: &intentpb.Spec_Replace{Replace: replace}}
+	res, _ := vm.intents.Plan(operator("ann"), &intentpb.PlanRequest{Key: "replace", Spec: spec})
+	return res
+}
+
+// Guards against a replacement that is refused for ever because it was asked for before the leader of the catalog led
+// the other log too: the others look unreachable then, and a refusal is kept under the operator's key.
+func TestReplacementWaitsForLeadersOfAllLogs(t *testing.T) {
+	g := NewWithT(t)
+	d := newVMGroup(t, "bindings")
+	replace := func(vm *realVM) *intentpb.IntentResponse { return d.replace(vm, string(d.ids[0].ID)) }
+	d.call(g, replace, result.MembersUnsettled, result.PlanLastQuorum)
+	d.lan.hold("")
+	d.call(g, replace, 0)
+}
+
+// Guards against a replacement that works over the fake log only: three VMs with real logs on disk replace the VM that
+// leads, the new one votes in both logs, and the plan is finished by another leader.
+func TestReplaceLeaderOverRealLogs(t *testing.T) {
+	g := NewWithT(t)
+	d := newVMGroup(t, "")
 	var old string
-	planned := call(func(vm *realVM) *intentpb.IntentResponse {
+	planned := d.call(g, func(vm *realVM) *intentpb.IntentResponse {
 		if old == "" {
 			old = string(vm.id)
 		}
-		spec := &intentpb.Spec{Want: &intentpb.Spec_Replace{Replace: &intentpb.ReplaceControl{Old: old, New: string(ids[3].ID), Address: address(3)}}}
-		res, _ := vm.intents.Plan(operator("ann"), &intentpb.PlanRequest{Key: old, Spec: spec})
-		return res
-	})
-	call(func(vm *realVM) *intentpb.IntentResponse {
+		return d.replace(vm, old)
+	}, 0)
+	d.call(g, func(vm *realVM) *intentpb.IntentResponse {
 		res, _ := vm.intents.Confirm(operator("ann"), &intentpb.ConfirmRequest{Intent: planned.Intent.Id, Plan: planned.Intent.Plan.Number})
 		if res.Intent != nil {
 			planned.Intent.Plan.Number = res.Intent.Plan.GetNumber()
 		}
 		return res
-	})
+	}, 0)
 	g.Eventually(func() intentpb.State {
-		return call(func(vm *realVM) *intentpb.IntentResponse {
+		return d.call(g, func(vm *realVM) *intentpb.IntentResponse {
 			res, _ := vm.intents.Get(operator("ann"), &intentpb.IntentRequest{Intent: planned.Intent.Id})
 			return res
-		}).Intent.State
+		}, 0).Intent.State
 	}, "60s", "100ms").Should(Equal(intentpb.State_STATE_DONE))
-	for _, vm := range vms {
+	for _, vm := range d.vms {
 		if !vm.log.Leading() {
 			continue
 		}
@@ -151,7 +190,7 @@
 			voters[m.ID] = m.Voter
 		}
 		g.Expect(voters).To(HaveLen(3))
-		g.Expect(voters).To(HaveKeyWithValue(string(ids[3].ID), true))
+		g.Expect(voters).To(HaveKeyWithValue(string(d.ids[3].ID), true))
 		g.Expect(voters).NotTo(HaveKey(old))
 	}
 }
--- a/internal/planner/platform.go
+++ b/internal/planner/platform.go
@@ -35,6 +35,9 @@
 		if m.ID == want.New {
 			return result.Errorf(result.IntentConflict, "%s is a control VM already", want.New)
 		}
+		if m.Unsettled {
+			return result.Errorf(result.MembersUnsettled, "the leader of the catalog does not lead all logs yet")
+		}
 		if !m.Voter {
 			continue
 		}
--- a/internal/planner/view.go
+++ b/internal/planner/view.go
@@ -29,6 +29,7 @@
 	Voter     bool
 	Reachable bool
 	CaughtUp  bool
+	Unsettled bool // another VM leads one of the logs; the other fields then say nothing of that log's members
 }
 
 // View is everything that a plan may depend on, at one moment.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -69,6 +69,7 @@
 	ProposalLost      Code = 4003
 	MemberChangeBusy  Code = 4004
 	MemberNotCaughtUp Code = 4005
+	MembersUnsettled  Code = 4006
 	StoreCorrupt      Code = 4101
 	StoreTorn         Code = 4102
 	StoreIdentity     Code = 4103
--- a/internal/result/table.go
+++ b/internal/result/table.go
@@ -51,6 +51,7 @@
 	ProposalLost:             {Name: "proposal-lost", Meaning: "The proposal was not committed, or that cannot be known.", Action: "Resend with the same key."},
 	MemberChangeBusy:         {Name: "member-change-busy", Meaning: "Another member change is in progress.", Action: "Wait for it."},
 	MemberNotCaughtUp:        {Name: "member-not-caught-up", Meaning: "The new control VM has not caught up.", Action: "Wait and try again."},
+	MembersUnsettled:         {Name: "members-unsettled", Meaning: "One control VM does not lead all logs yet, so it is not known which are reachable.", Action: "Try again with the same key."},
 	StoreCorrupt:             {Name: "store-corrupt", Meaning: "A stored record fails its checksum.", Action: "Replace the control VM."},
 	StoreTorn:                {Name: "store-torn", Meaning: "The last record on disk is incomplete and was not used.", Action: "None; it was never acknowledged."},
 	StoreIdentity:            {Name: "store-identity", Meaning: "The data folder belongs to another identity or is empty.", Action: "Replace the control VM under a new identity."},
