Reset flows that ended with an earlier start of their upstream

Cause: after a loss of all power only the callers know the flows of before.

Change: agents report the open flows of their upstream with the reports that they make anyway, control VMs keep them on disk, and an agent whose upstream has started anew gets and resets those of the earlier start (decision 0010).

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -13,6 +13,7 @@
 
 	"github.com/plantainseam/plantainseam/internal/declared"
 	"github.com/plantainseam/plantainseam/internal/group"
+	"github.com/plantainseam/plantainseam/internal/openflows"
 	"github.com/plantainseam/plantainseam/internal/passthrough"
 	"github.com/plantainseam/plantainseam/internal/result"
 	"github.com/plantainseam/plantainseam/internal/roster"
@@ -44,13 +45,14 @@
 	machine *declared.Machine
 	group   *group.Group
 	store   *roster.Store
+	flows   *openflows.Book
 
 	instruments *instruments
 }
 
 // New returns an authority that is started by Run.
 func New(cfg Config) *Authority {
-	a := &Authority{cfg: cfg, instruments: newInstruments()}
+	a := &Authority{cfg: cfg, flows: openflows.NewBook(), instruments: newInstruments()}
 	a.store = roster.NewStore(time.Now(), func() int { return a.group.Quorum() })
 	a.machine = declared.New(func(version uint64) {
 		_ = cfg.Logger.Log("event", "declaration_applied", "version", version)
@@ -167,7 +169,9 @@
 // handler serves the calls of other processes.
 func (a *Authority) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(pb.RosterPathPrefix, pb.NewRosterServer(roster.NewServer(a.store, a, time.Now)))
+	server := roster.NewServer(a.store, a, time.Now)
+	server.Flows = a.flows
+	mux.Handle(pb.RosterPathPrefix, pb.NewRosterServer(server))
 	mux.Handle(pb.GroupPathPrefix, pb.NewGroupServer(a.group))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		if t := a.group.Transport(); t != nil {
@@ -193,8 +197,11 @@
 	memory := &roster.Memory{Directory: a.cfg.DataDir, Store: a.store, Self: a.cfg.Self.Addr(), Logger: a.cfg.Logger}
 	memory.Load()
 	go memory.Run(ctx)
+	keeper := &openflows.Keeper{Directory: a.cfg.DataDir, Book: a.flows, Logger: a.cfg.Logger}
+	keeper.Load(time.Now())
+	go keeper.Run(ctx)
 	go a.measureSpread(ctx)
-	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.partners}
+	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.partners, Flows: a.flows}
 	go exchange.Run(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/plantainseam/plantainseam/internal/openflows"
 	"github.com/plantainseam/plantainseam/internal/passthrough"
 	"github.com/plantainseam/plantainseam/internal/roster"
 	"github.com/plantainseam/plantainseam/internal/udp"
@@ -18,6 +19,7 @@
 	*link
 	machine  *passthrough.Agent
 	tracker  upstream.Tracker
+	reporter *openflows.Reporter
 	conn     *net.UDPConn // packets of other nodes
 	outbound *net.UDPConn // packets of the upstream
 	counts   *counters
@@ -39,9 +41,10 @@
 		machine: passthrough.NewAgent(passthrough.EndpointOf(cfg.Tunnel), cfg.Domain),
 		tracker: upstream.Tracker{Silence: cfg.UpstreamSilence},
 	}
+	a.reporter = &openflows.Reporter{Changes: a.flowChanges}
 	a.client = roster.NewClient(roster.ClientConfig{
 		Seeds: cfg.Seeds, RPCPort: cfg.RPCPort, Domain: cfg.Domain, Logger: cfg.Logger,
-		Self: a.record, Held: a.version, Update: a.update,
+		Self: a.record, Held: a.version, Update: a.update, Flows: a.flowReport, Answered: a.flowAnswer,
 	})
 	return a, nil
 }
@@ -98,7 +101,12 @@
 	outcome := a.tracker.Announce(now, n)
 	after := a.tracker.Upstream(now)
 	a.machine.SetUpstream(after, outcome == upstream.Restarted)
+	orphans := a.machine.TakeOrphans()
+	if outcome != upstream.Stale {
+		a.machine.Confirm(a.now())
+	}
 	a.mu.Unlock()
+	a.resetOrphans(orphans)
 	if before.Active != after.Active || before.Service != after.Service || outcome != upstream.Accepted {
 		_ = a.cfg.Logger.Log("event", "upstream_announced", "upstream", n.ID, "service", n.Service, "sequence", n.Sequence,
 			"born", n.Born, "draining", n.Draining, "outcome", outcome, "active", after.Active)
--- /dev/null
+++ b/internal/forwarder/openflows.go
@@ -0,0 +1,46 @@
+package forwarder
+
+import (
+	"net/netip"
+
+	"github.com/plantainseam/plantainseam/internal/openflows"
+	"github.com/plantainseam/plantainseam/internal/passthrough"
+	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
+)
+
+// flowReport makes the flow report to a control VM, or nil while no upstream is known.
+func (a *Agent) flowReport(to netip.AddrPort) *pb.FlowReport {
+	a.mu.Lock()
+	last, ok := a.tracker.Last()
+	a.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	return a.reporter.Next(openflows.Start{Incarnation: last.Incarnation(), Born: last.Born}, to)
+}
+
+func (a *Agent) flowChanges(whole bool) ([]passthrough.OpenFlow, []passthrough.Flow) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.machine.FlowChanges(whole)
+}
+
+// flowAnswer processes what a control VM answered to a flow report.
+func (a *Agent) flowAnswer(from netip.AddrPort, response *pb.SyncResponse) {
+	a.resetOrphans(a.reporter.Answer(from, response))
+}
+
+// resetOrphans tells the callers of flows of an earlier start of the upstream that they are gone.
+func (a *Agent) resetOrphans(orphans []passthrough.OpenFlow) {
+	if len(orphans) == 0 {
+		return
+	}
+	_ = a.cfg.Logger.Log("event", "orphans_reset", "flows", len(orphans))
+	var out []byte
+	for _, o := range orphans {
+		a.mu.Lock()
+		s, d := a.machine.ResetOrphan(o)
+		a.mu.Unlock()
+		out = a.carryOut(s, d, nil, out[:0])
+	}
+}
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -35,6 +35,7 @@
 	held    bool // the upstream answered
 	busy    bool // the last request is not answered
 	closing bool
+	remembrance
 }
 
 // Agent delivers packets to the upstream on its VM and passes on what that does not hold. It is used by one goroutine.
@@ -44,10 +45,14 @@
 	roster   *Roster
 	choice   chooser
 	upstream Upstream
-	ended    bool // the upstream that was present has ended, and no other one was heard
+	left     bool // the upstream that was present has ended, and no other one was heard
 	flows    map[Flow]*agentFlow
-	open     int // held flows that are not closing
-	busy     int // flows with an unanswered request
+	open     int        // held flows that are not closing
+	busy     int        // flows with an unanswered request
+	ended    []Flow     // reported flows that have ended since the last report
+	orphans  []OpenFlow // flows of an earlier start of the upstream
+
+	confirmedMs int64 // when the present start of the upstream announced itself last
 }
 
 // NewAgent returns an agent in a failure domain.
@@ -63,11 +68,10 @@
 
 // SetUpstream replaces what is known of the upstream. A new incarnation holds no flows.
 func (a *Agent) SetUpstream(u Upstream, restarted bool) {
-	a.ended = a.upstream.Present && !u.Present || a.ended && !u.Present
+	a.left = a.upstream.Present && !u.Present || a.left && !u.Present
 	a.upstream = u
 	if restarted {
-		clear(a.flows)
-		a.open, a.busy = 0, 0
+		a.abandon()
 	}
 }
 
@@ -75,7 +79,7 @@
 func (a *Agent) Load() (flows, busy int) { return a.open, a.busy }
 
 // Vacant reports whether there is no upstream: it has ended, or the agent has not heard one for long enough since its start.
-func (a *Agent) Vacant(now int64) bool { return !a.upstream.Present && (a.ended || now >= presumeMs) }
+func (a *Agent) Vacant(now int64) bool { return !a.upstream.Present && (a.left || now >= presumeMs) }
 
 // accepts reports whether the upstream may take a new flow, by the newer of the two declarations.
 func (a *Agent) accepts(f Flow, h Forward) (bool, Reason) {
@@ -108,6 +112,7 @@
 		a.flows[s.Flow] = f
 	}
 	f.entry, f.header, f.seenMs = h.Entry, h, now
+	f.noteCaller(s)
 	if len(h.Visited) > 0 || h.Only {
 		f.told = Endpoint{} // the entry was looking for the flow
 	}
@@ -167,6 +172,7 @@
 		a.flows[s.Flow] = f
 	}
 	f.seenMs = now
+	f.noteAnswer(now, s)
 	change := a.answered(f, s)
 	d := Decision{Verdict: ToCaller, Reason: ReasonAnswer, Change: change, Flows: a.open, Busy: a.busy}
 	if f.held && f.entry != (Endpoint{}) && f.told != f.entry {
@@ -193,6 +199,7 @@
 	}
 	if (s.Fin || s.Rst) && !f.closing {
 		f.closing = true
+		a.noteEnd(s.Flow, f)
 		if f.held {
 			a.open--
 			change = Ended
@@ -249,6 +256,7 @@
 	if f.busy {
 		a.busy--
 	}
+	a.noteEnd(k, f)
 	delete(a.flows, k)
 }
 
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -31,6 +31,7 @@
 	ReasonUnsettled Reason = "roster_unsettled"
 	ReasonAnswer    Reason = "answer"
 	ReasonService   Reason = "wrong_service"
+	ReasonOrphaned  Reason = "upstream_started_anew"
 )
 
 // Decision is the outcome for one packet.
--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -38,6 +38,10 @@
 	Held    func() uint64 // version of the declaration in force
 	Update  func(View)
 	Logger  log.Logger
+	// Flows makes the flow report to a control VM, or, if the address is not valid, to several; it may return nil. Answered
+	// gets the answers to it. Both are nil if this process does not report flows.
+	Flows    func(to netip.AddrPort) *pb.FlowReport
+	Answered func(from netip.AddrPort, response *pb.SyncResponse)
 	// Dial opens connections; net.Dialer if nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -165,7 +169,7 @@
 	if link == nil {
 		return c.connect(ctx)
 	}
-	response, err := link.client.Sync(ctx, c.request())
+	response, err := link.client.Sync(ctx, c.request(link.at))
 	if err != nil {
 		c.leave("call_failed", err)
 		return false
@@ -217,7 +221,7 @@
 	defer cancel()
 	controls := c.Controls()
 	answers := make(chan answer, len(controls))
-	request := c.request()
+	request := c.request(netip.AddrPort{})
 	for _, at := range controls {
 		l := c.tried[at]
 		if l == nil {
@@ -290,8 +294,11 @@
 	}
 }
 
-func (c *Client) request() *pb.SyncRequest {
+func (c *Client) request(to netip.AddrPort) *pb.SyncRequest {
 	request := &pb.SyncRequest{Self: ToWire(c.cfg.Self()), Declared: c.cfg.Held(), Known: c.lesson()}
+	if c.cfg.Flows != nil {
+		request.Flows = c.cfg.Flows(to)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	request.Feed, request.Position = c.roster.position.Feed, c.roster.position.Change
@@ -345,6 +352,9 @@
 	}
 	c.mu.Unlock()
 	c.cfg.Update(v)
+	if c.cfg.Answered != nil {
+		c.cfg.Answered(at, response)
+	}
 }
 
 // idleConnection closes a connection that was left behind.
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/plantainseam/plantainseam/internal/openflows"
 	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
 
@@ -15,6 +16,7 @@
 	Store *Store
 	Self  func() Record
 	Peers func() []netip.AddrPort // RPC addresses of the other control VMs
+	Flows *openflows.Book         // nil if open flows are not remembered
 
 	clients map[netip.AddrPort]pb.Roster
 }
@@ -63,11 +65,16 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	now := time.Now()
-	response, err := client.Exchange(ctx, &pb.ExchangeRequest{
-		Records: wireRecords(e.Store.List(now)), Remembered: e.Store.ownList(now),
-	})
+	request := &pb.ExchangeRequest{Records: wireRecords(e.Store.List(now)), Remembered: e.Store.ownList(now)}
+	if e.Flows != nil {
+		request.Flows = e.Flows.Given(peer)
+	}
+	response, err := client.Exchange(ctx, request)
 	if err != nil {
 		return
 	}
+	if request.Flows != nil {
+		e.Flows.Taken(peer)
+	}
 	e.Store.learn(time.Now(), response)
 }
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/plantainseam/plantainseam/internal/openflows"
 	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
 
@@ -17,6 +18,8 @@
 
 // Server implements the Roster service of a control VM.
 type Server struct {
+	Flows *openflows.Book // nil if open flows are not remembered
+
 	store        *Store
 	feed         *feed
 	declarations Declarations
@@ -53,6 +56,9 @@
 	for _, k := range n.removed {
 		response.Removed = append(response.Removed, &pb.Record{Kind: uint32(k.kind), Address: k.address})
 	}
+	if report := request.GetFlows(); report != nil && s.Flows != nil {
+		response.Flows, response.Orphans = s.Flows.Report(now, request.GetSelf().GetAddress(), report)
+	}
 	return response, nil
 }
 
@@ -60,6 +66,9 @@
 func (s *Server) Exchange(_ context.Context, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
 	now := s.now()
 	s.store.learn(now, request)
+	if s.Flows != nil {
+		s.Flows.Adopt(now, request.GetFlows())
+	}
 	return &pb.ExchangeResponse{Records: wireRecords(s.store.List(now)), Remembered: s.store.ownList(now)}, nil
 }
 
