Copy the open flows of agents to other control VMs

Cause: each report of open flows was on one disk.

Ruled out: reports of an agent to several control VMs (three times the calls), copies to all (as many as may be lost suffice).

Change: control VMs pass the reports of their agents on with the exchange of records, to as many others as may lose their disks at once. Reports are numbered from a number that names the agent's process: TestReportsUnderLoss found, with more schedules, that a control VM took a report of a later process for one that it held.

--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -41,7 +41,7 @@
 		machine: passthrough.NewAgent(passthrough.EndpointOf(cfg.Tunnel), cfg.Domain),
 		tracker: upstream.Tracker{Silence: cfg.UpstreamSilence},
 	}
-	a.reporter = &openflows.Reporter{Changes: a.flowChanges}
+	a.reporter = openflows.NewReporter(a.flowChanges, a.process)
 	a.client = roster.NewClient(roster.ClientConfig{
 		Seeds: cfg.Seeds, RPCPort: cfg.RPCPort, Domain: cfg.Domain, Logger: cfg.Logger,
 		Self: a.record, Held: a.version, Update: a.update, Flows: a.flowReport, Answered: a.flowAnswer,
--- a/internal/openflows/book.go
+++ b/internal/openflows/book.go
@@ -32,8 +32,9 @@
 	flows   int    // in agents
 	version uint64 // counts changes of agents
 
-	loaded []*pb.OpenFlows             // what this control VM knew before it started
-	given  map[netip.AddrPort]struct{} // control VMs that have loaded
+	loaded []*pb.OpenFlows                      // what this control VM knew before it started
+	given  map[netip.AddrPort]struct{}          // control VMs that have loaded
+	copies map[netip.AddrPort]map[uint32]copied // by control VM and agent
 }
 
 // held is the flows of one start of an upstream.
@@ -42,6 +43,8 @@
 	number uint64 // of the last report; 0 if the flows are from before the start of this control VM
 	heard  time.Time
 	flows  map[passthrough.Flow]uint32 // acknowledgement numbers
+	copy   bool                        // the agent reports to another control VM
+	recent []*pb.FlowReport            // the last reports
 }
 
 // orphaned is the flows of earlier starts of an upstream, in the order in which they were found.
@@ -52,7 +55,10 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{agents: map[uint32]*held{}, orphans: map[uint32]*orphaned{}, given: map[netip.AddrPort]struct{}{}}
+	return &Book{
+		agents: map[uint32]*held{}, orphans: map[uint32]*orphaned{},
+		given: map[netip.AddrPort]struct{}{}, copies: map[netip.AddrPort]map[uint32]copied{},
+	}
 }
 
 // Report processes a report of an agent. It returns the number of the last report that is included, 0 if the agent has to
@@ -64,21 +70,29 @@
 	if h == nil {
 		return 0, nil
 	}
+	b.apply(now, h, r)
+	h.copy = false
+	return h.number, b.orphansAfter(agent, r.GetOrphans())
+}
+
+// apply takes over a report. After a gap all flows have to be reported. The caller holds mu.
+func (b *Book) apply(now time.Time, h *held, r *pb.FlowReport) {
 	h.heard = now
 	switch {
 	case r.GetFrom() == 0:
 		b.flows -= len(h.flows)
 		h.flows = make(map[passthrough.Flow]uint32, len(r.GetOpened()))
 		b.add(h, allFromWire(r.GetOpened()))
-		h.number = r.GetNumber()
+		h.number, h.recent = r.GetNumber(), nil
+	case r.GetNumber() == h.number: // nothing new
 	case r.GetFrom() == h.number:
 		b.add(h, allFromWire(r.GetOpened()))
 		b.remove(h, allFromWire(r.GetEnded()))
 		h.number = r.GetNumber()
+		h.recent = append(h.recent[max(0, len(h.recent)-recentReports+1):], r)
 	default:
-		h.number = 0
+		h.number, h.recent = 0, nil
 	}
-	return h.number, b.orphansAfter(agent, r.GetOrphans())
 }
 
 // begin returns the flows of a start of an agent's upstream; those of an earlier start become orphans. It returns nil if a
@@ -170,6 +184,7 @@
 			b.flows -= len(h.flows)
 			b.version++
 			delete(b.agents, agent)
+			b.uncopy(agent)
 		}
 	}
 	for agent, o := range b.orphans {
--- a/internal/openflows/openflows_test.go
+++ b/internal/openflows/openflows_test.go
@@ -184,9 +184,17 @@
 
 // upstreamFlows plays the flows of an agent's upstream and the changes that its machine reports.
 type upstreamFlows struct {
-	start Start
-	open  map[int]bool
-	told  map[int]bool
+	start     Start
+	open      map[int]bool
+	told      map[int]bool
+	processes uint64 // starts of the agent
+}
+
+// process starts the agent.
+func (u *upstreamFlows) process() *Reporter {
+	u.processes++
+	u.told = map[int]bool{}
+	return NewReporter(u.changes, u.processes<<numberBits)
 }
 
 func (u *upstreamFlows) changes(all bool) (opened []passthrough.OpenFlow, ended []passthrough.Flow) {
@@ -215,7 +223,7 @@
 		books := []*Book{NewBook(), NewBook()}
 		addresses := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")}
 		u := &upstreamFlows{start: Start{10, 10}, open: map[int]bool{}, told: map[int]bool{}}
-		reporter := &Reporter{Changes: u.changes}
+		reporter := u.process()
 		next, inUse := 0, 0
 		earlier := map[passthrough.Flow]bool{} // orphans that the agent may be given
 		given := map[passthrough.Flow]bool{}
@@ -251,14 +259,13 @@
 					return
 				}
 			},
-			"report":       func(t *rapid.T) { sync(t, false, false) },
-			"lost call":    func(t *rapid.T) { sync(t, true, false) },
-			"lost answer":  func(t *rapid.T) { sync(t, false, true) },
-			"change VM":    func(*rapid.T) { inUse = 1 - inUse },
-			"VM restarts":  func(*rapid.T) { books[inUse] = NewBook() },
+			"report":      func(t *rapid.T) { sync(t, false, false) },
+			"lost call":   func(t *rapid.T) { sync(t, true, false) },
+			"lost answer": func(t *rapid.T) { sync(t, false, true) },
+			"change VM":   func(*rapid.T) { inUse = 1 - inUse },
+			"VM restarts": func(*rapid.T) { books[inUse] = NewBook() },
 			"agent starts": func(*rapid.T) {
-				u.told, given = map[int]bool{}, map[passthrough.Flow]bool{}
-				reporter = &Reporter{Changes: u.changes}
+				reporter, given = u.process(), map[passthrough.Flow]bool{}
 			},
 			"upstream starts": func(*rapid.T) {
 				for n := range u.open {
--- a/internal/openflows/reporter.go
+++ b/internal/openflows/reporter.go
@@ -16,8 +16,7 @@
 
 // Reporter makes the flow reports of an agent and takes the answers of control VMs. It is safe for concurrent use.
 type Reporter struct {
-	// Changes returns the flows that have opened and ended since the last call, or with whole all open ones.
-	Changes func(whole bool) (opened []passthrough.OpenFlow, ended []passthrough.Flow)
+	changes Changes
 
 	mu        sync.Mutex
 	start     Start
@@ -28,6 +27,18 @@
 	told      map[passthrough.Flow]struct{}
 }
 
+// Changes returns the flows that have opened and ended since the last call, or with whole all open ones.
+type Changes func(whole bool) (opened []passthrough.OpenFlow, ended []passthrough.Flow)
+
+// NewReporter returns a reporter. Its reports are numbered from a number that names the start of the process, because
+// control VMs hold reports of earlier ones.
+func NewReporter(changes Changes, process uint64) *Reporter {
+	return &Reporter{changes: changes, number: process >> numberBits << numberBits}
+}
+
+// numberBits is the part of a number that counts the reports of one process.
+const numberBits = 32
+
 // Next returns the next report, to the control VM at the address or, without a valid one, to several.
 func (r *Reporter) Next(start Start, to netip.AddrPort) *pb.FlowReport {
 	r.mu.Lock()
@@ -35,7 +46,7 @@
 	if start != r.start {
 		r.start, r.confirmed, r.orphans, r.told = start, false, 0, nil
 	}
-	whole := !r.confirmed || r.number == 0
+	whole := !r.confirmed
 	report := &pb.FlowReport{Incarnation: start.Incarnation, Born: start.Born}
 	if !whole {
 		report.From = r.number
@@ -43,7 +54,7 @@
 	if to == r.from {
 		report.Orphans = r.orphans
 	}
-	opened, ended := r.Changes(whole)
+	opened, ended := r.changes(whole)
 	if whole || len(opened)+len(ended) > 0 {
 		r.number++
 	}
@@ -59,7 +70,7 @@
 func (r *Reporter) Answer(from netip.AddrPort, response *pb.SyncResponse) []passthrough.OpenFlow {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.confirmed = response.GetFlows() == r.number && r.number != 0
+	r.confirmed = response.GetFlows() == r.number
 	if from != r.from {
 		r.from, r.orphans = from, 0
 	}
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/openflows"
@@ -17,6 +18,8 @@
 	Self  func() Record
 	Peers func() []netip.AddrPort // RPC addresses of the other control VMs
 	Flows *openflows.Book         // nil if open flows are not remembered
+	// Copies is how many other control VMs get what agents report of their flows: as many as may lose their disks at once.
+	Copies int
 
 	clients map[netip.AddrPort]pb.Roster
 }
@@ -37,8 +40,10 @@
 		}
 		now := time.Now()
 		e.Store.Put(now, e.Self())
-		for _, peer := range e.Peers() {
-			go e.exchange(ctx, peer, e.client(peer))
+		peers := e.Peers()
+		copyTo := e.copyTo(peers)
+		for _, peer := range peers {
+			go e.exchange(ctx, peer, e.client(peer), slices.Contains(copyTo, peer))
 		}
 		if e.Store.Settled(now) {
 			timer.Reset(exchangePeriod)
@@ -60,19 +65,41 @@
 	return c
 }
 
+// copyTo returns the control VMs that get copies: those that follow this one in the order of their addresses, the first one
+// after the last.
+func (e *Exchanger) copyTo(peers []netip.AddrPort) []netip.AddrPort {
+	self := e.Self().Address
+	sorted := slices.SortedFunc(slices.Values(peers), func(a, b netip.AddrPort) int {
+		if follows := self.Less(a.Addr()); follows != self.Less(b.Addr()) {
+			if follows {
+				return -1
+			}
+			return 1
+		}
+		return a.Compare(b)
+	})
+	return sorted[:min(e.Copies, len(sorted))]
+}
+
 // exchange makes one call. A failure needs no retry: the next round repeats it.
-func (e *Exchanger) exchange(ctx context.Context, peer netip.AddrPort, client pb.Roster) {
+func (e *Exchanger) exchange(ctx context.Context, peer netip.AddrPort, client pb.Roster, copies bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	now := time.Now()
 	request := &pb.ExchangeRequest{Records: wireRecords(e.Store.List(now)), Remembered: e.Store.ownList(now)}
 	if e.Flows != nil {
 		request.Flows = e.Flows.Given(peer)
+		if copies {
+			request.Copies = e.Flows.Outgoing(now, peer)
+		}
 	}
 	response, err := client.Exchange(ctx, request)
 	if err != nil {
 		return
 	}
+	if e.Flows != nil {
+		e.Flows.Copied(now, peer, response.GetCopies())
+	}
 	if request.Flows != nil {
 		e.Flows.Taken(peer)
 	}
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -66,10 +66,12 @@
 func (s *Server) Exchange(_ context.Context, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
 	now := s.now()
 	s.store.learn(now, request)
+	response := &pb.ExchangeResponse{Records: wireRecords(s.store.List(now)), Remembered: s.store.ownList(now)}
 	if s.Flows != nil {
 		s.Flows.Adopt(now, request.GetFlows())
+		response.Copies = s.Flows.Incoming(now, request.GetCopies())
 	}
-	return &pb.ExchangeResponse{Records: wireRecords(s.store.List(now)), Remembered: s.store.ownList(now)}, nil
+	return response, nil
 }
 
 // exchanged is what both directions of an exchange carry.
