Invite the processes of before when a control VM starts

Cause: after a loss of all power entries and agents know only the given control VMs. Answers of control VMs without a leader were held until all attempts to reach the others had ended, 100 ms and more.

Ruled out: the election (88 ms after the third of five members), the upstreams, the time until rosters settle (70 ms).

Change: control VMs remember entries as well, and tell all remembered processes that they are back. A process without a control VM asks such a one at once, and takes answers without a leader as they come.

Service begins as soon as one control VM is back, whichever it is.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -195,8 +195,10 @@
 	}
 	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: time.Second}
 	memory := &roster.Memory{Directory: a.cfg.DataDir, Store: a.store, Self: a.cfg.Self.Addr(), Logger: a.cfg.Logger}
-	memory.Load()
+	known := memory.Load()
 	go memory.Run(ctx)
+	inviter := &roster.Inviter{Store: a.store, Self: a.cfg.Self, Logger: a.cfg.Logger}
+	go inviter.Run(ctx, known)
 	keeper := &openflows.Keeper{Directory: a.cfg.DataDir, Book: a.flows, Logger: a.cfg.Logger}
 	keeper.Load(time.Now())
 	go keeper.Run(ctx)
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -174,6 +174,10 @@
 
 func (a *Agent) fromPeer(b, out []byte) []byte {
 	datagram, err := passthrough.Decode(b)
+	if err == nil && datagram.Invite != nil {
+		a.client.Invite(datagram.Invite.AddrPort())
+		return out
+	}
 	if err != nil || datagram.Forward == nil {
 		a.counts.add("malformed")
 		return out
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -228,6 +228,8 @@
 		e.mu.Lock()
 		e.machine.Misses(e.now(), passthrough.EndpointOf(from), *d.Misses)
 		e.mu.Unlock()
+	case d.Invite != nil:
+		e.client.Invite(d.Invite.AddrPort())
 	}
 }
 
--- a/internal/passthrough/header.go
+++ b/internal/passthrough/header.go
@@ -12,6 +12,7 @@
 	kindForward = 1 // a caller's packet follows the header
 	kindHolds   = 2 // the sender's upstream answered a packet of the flow
 	kindMisses  = 3 // the sender's upstream returned a packet of the flow
+	kindInvite  = 4 // a control VM has started
 )
 
 // MaxVisited bounds the agents that one packet visits, and so the header (6 KB). In a larger deployment a search from agent
@@ -57,6 +58,7 @@
 	flowSize     = 12
 	holdsSize    = 2 + flowSize + 2
 	missesSize   = 2 + flowSize
+	inviteSize   = 2 + endpointSize
 )
 
 // ErrMalformed is returned for datagrams that no node sends.
@@ -120,12 +122,21 @@
 	return append(buf, b[:]...)
 }
 
+// AppendInvite appends the datagram to buf. control is the RPC address of a control VM.
+func AppendInvite(buf []byte, control Endpoint) []byte {
+	var b [inviteSize]byte
+	b[0], b[1] = magic, kindInvite
+	putEndpoint(b[2:], control)
+	return append(buf, b[:]...)
+}
+
 // Datagram is a decoded datagram between nodes. Exactly one of the pointers is set.
 type Datagram struct {
 	Forward *Forward
 	Holds   *Holds
-	Misses  *Flow  // the sender's upstream does not hold the flow
-	Packet  []byte // of a Forward; refers to the input
+	Misses  *Flow     // the sender's upstream does not hold the flow
+	Invite  *Endpoint // RPC address of a control VM that has started
+	Packet  []byte    // of a Forward; refers to the input
 }
 
 // IsInternal reports whether the datagram is one between nodes. Packets of callers never start with the magic byte,
@@ -154,6 +165,12 @@
 		}
 		f := getFlow(b[2:])
 		return Datagram{Misses: &f}, nil
+	case kindInvite:
+		if len(b) != inviteSize {
+			return Datagram{}, ErrMalformed
+		}
+		e := getEndpoint(b[2:])
+		return Datagram{Invite: &e}, nil
 	}
 	return Datagram{}, ErrMalformed
 }
--- a/internal/passthrough/header_test.go
+++ b/internal/passthrough/header_test.go
@@ -22,6 +22,11 @@
 	d, err = Decode(AppendMisses(nil, caller(8)))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(*d.Misses).To(gomega.Equal(caller(8)))
+	d, err = Decode(AppendInvite(nil, tunnel(9)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(*d.Invite).To(gomega.Equal(tunnel(9)))
+	_, err = Decode(AppendInvite(nil, tunnel(9))[:inviteSize-1])
+	g.Expect(err).To(gomega.MatchError(ErrMalformed))
 }
 
 // Anything may arrive on the tunnel port. It must neither crash a process nor be taken for more than it is.
--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -51,6 +52,7 @@
 type Client struct {
 	cfg  ClientConfig
 	wake chan struct{}
+	came chan netip.AddrPort // control VMs that have started, while none is in use
 
 	connecting sync.Mutex               // held by connect
 	tried      map[netip.AddrPort]*link // open links to control VMs that do not hear a leader; guarded by connecting
@@ -58,6 +60,7 @@
 	mu       sync.Mutex
 	seeds    []netip.AddrPort
 	known    []netip.AddrPort // control VMs of the last roster, nearest first
+	invited  []netip.AddrPort // control VMs that have started since one was in use
 	link     *link            // to the control VM in use; nil while there is none
 	lost     bool             // a control VM was in use before
 	attempts int              // to connect since the last success
@@ -74,7 +77,28 @@
 	if cfg.Dial == nil {
 		cfg.Dial = new(net.Dialer).DialContext
 	}
-	return &Client{cfg: cfg, seeds: cfg.Seeds, wake: make(chan struct{}, 1), tried: map[netip.AddrPort]*link{}}
+	return &Client{cfg: cfg, seeds: cfg.Seeds, wake: make(chan struct{}, 1), came: make(chan netip.AddrPort, maxInvited), tried: map[netip.AddrPort]*link{}}
+}
+
+// maxInvited bounds the control VMs that are asked because they said that they have started: a group has at most 7.
+const maxInvited = 8
+
+// Invite asks a control VM that has just started, unless one is in use. A process that has started as well knows only the
+// given control VMs, which may come later.
+func (c *Client) Invite(at netip.AddrPort) {
+	c.mu.Lock()
+	wanted := c.link == nil
+	if wanted && !slices.Contains(c.invited, at) && len(c.invited) < maxInvited {
+		c.invited = append(c.invited, at)
+		select {
+		case c.came <- at:
+		default:
+		}
+	}
+	c.mu.Unlock()
+	if wanted {
+		c.Wake()
+	}
 }
 
 // SetSeeds replaces the seeds after a reload.
@@ -100,14 +124,10 @@
 }
 
 func (c *Client) controls() []netip.AddrPort {
-	out := append([]netip.AddrPort(nil), c.known...)
-	for _, s := range c.seeds {
-		found := false
-		for _, k := range out {
-			found = found || k == s
-		}
-		if !found {
-			out = append(out, s)
+	out := slices.Clone(c.known)
+	for _, at := range slices.Concat(c.invited, c.seeds) {
+		if !slices.Contains(out, at) {
+			out = append(out, at)
 		}
 	}
 	return out
@@ -211,47 +231,72 @@
 	err      error
 }
 
-// connect asks all known control VMs and uses the first one that hears its leader. If none does, what the one with the
-// newest declaration knows is taken all the same, and the caller tries again.
+// connect asks all known control VMs, and those that start meanwhile, and uses the first one that hears its leader. Until
+// then it takes what the others know, unless that is older than what another one has told, and the caller tries again.
 func (c *Client) connect(ctx context.Context) bool {
 	c.connecting.Lock()
 	defer c.connecting.Unlock()
 	patience, dial := c.patience()
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	for len(c.came) > 0 {
+		<-c.came // among the known ones
+	}
 	controls := c.Controls()
-	answers := make(chan answer, len(controls))
 	request := c.request(netip.AddrPort{})
+	answers := make(chan answer, len(controls)+maxInvited)
+	asked := 0
+	ask := func(l *link) {
+		asked++
+		c.tried[l.at] = l
+		go func() {
+			response, err := l.client.Sync(ctx, request)
+			answers <- answer{l, response, err}
+		}()
+	}
 	for _, at := range controls {
 		l := c.tried[at]
 		if l == nil {
 			l = c.newLink(at, dial)
-			c.tried[at] = l
 		}
-		go func() {
-			response, err := l.client.Sync(ctx, request)
-			answers <- answer{l, response, err}
-		}()
+		ask(l)
 	}
-	var other *answer
-	for range controls {
-		a := <-answers
-		switch {
-		case a.err != nil:
-			a.link.close()
-			delete(c.tried, a.link.at)
-		case a.response.GetCurrent():
-			c.use(a.link)
-			c.accept(a.link.at, a.response)
-			return true
-		default:
-			if other == nil || a.response.GetDeclared() > other.response.GetDeclared() {
-				other = &a
+	var newest uint64
+	for asked > 0 {
+		select {
+		case at := <-c.came: // its connection may have been lost before it started
+			if c.room(answers, asked) {
+				ask(c.newLink(at, dial))
+			}
+		case a := <-answers:
+			asked--
+			if c.hear(a, &newest) {
+				return true
 			}
 		}
 	}
-	if other != nil {
-		c.accept(other.link.at, other.response)
+	return false
+}
+
+// room reports whether one more control VM can be asked without blocking its answer.
+func (c *Client) room(answers chan answer, asked int) bool { return asked+len(answers) < cap(answers) }
+
+// hear processes the outcome of a call while no control VM is in use. It reports whether this one is used from now on.
+// newest is the newest declaration that was taken in this attempt.
+func (c *Client) hear(a answer, newest *uint64) bool {
+	switch {
+	case a.err != nil:
+		a.link.close()
+		if c.tried[a.link.at] == a.link {
+			delete(c.tried, a.link.at)
+		}
+	case a.response.GetCurrent():
+		c.use(a.link)
+		c.accept(a.link.at, a.response)
+		return true
+	case a.response.GetDeclared() >= *newest:
+		*newest = a.response.GetDeclared()
+		c.accept(a.link.at, a.response)
 	}
 	return false
 }
@@ -285,7 +330,7 @@
 		delete(c.tried, at)
 	}
 	c.mu.Lock()
-	c.link, c.attempts = l, 0
+	c.link, c.attempts, c.invited = l, 0, nil
 	regained := c.lost
 	c.lost = false
 	c.mu.Unlock()
@@ -324,9 +369,13 @@
 func (c *Client) accept(at netip.AddrPort, response *pb.SyncResponse) {
 	v := View{Settled: response.GetSettled(), Quiet: response.GetQuiet(), Current: response.GetCurrent(), Version: response.GetDeclared(), Declaration: response.GetDeclaration(), From: at}
 	c.mu.Lock()
-	c.roster.apply(time.Now(), response)
+	applied := c.roster.apply(time.Now(), response)
 	v.Records = c.roster.list(time.Now())
 	c.mu.Unlock()
+	if !applied {
+		c.Wake() // for the whole roster
+		return
+	}
 	var controls []Record
 	for _, r := range v.Records {
 		if r.Kind == KindControl && !r.Leaving {
--- a/internal/roster/memory.go
+++ b/internal/roster/memory.go
@@ -21,7 +21,7 @@
 const memoryFile = "agents"
 
 // memoryMagic starts the file; the last characters are the version of the format.
-const memoryMagic = "PSAGNT01"
+const memoryMagic = "PSAGNT02"
 
 // Times of the memory.
 const (
@@ -32,8 +32,8 @@
 	memoryPause = time.Second
 )
 
-// Memory keeps the list of agents on the disk of a control VM. After a common loss of power it tells whom to wait for: a
-// roster is complete as soon as all of them have reported.
+// Memory keeps the list of agents and entries on the disk of a control VM. After a common loss of power it tells whom to wait
+// for: a roster is complete as soon as all agents have reported. And it tells whom to invite.
 type Memory struct {
 	Directory string
 	Store     *Store
@@ -41,11 +41,12 @@
 	Logger    log.Logger
 }
 
-// Load gives the list in the file to the store. It is to be called before the store is used.
-func (m *Memory) Load() {
+// Load gives the list in the file to the store and returns the addresses of all processes in it for datagrams. It is to be
+// called before the store is used.
+func (m *Memory) Load() []netip.AddrPort {
 	body, err := durable.ReadChecked(filepath.Join(m.Directory, memoryFile), memoryMagic)
 	if errors.Is(err, fs.ErrNotExist) {
-		return
+		return nil
 	}
 	var list pb.Remembered
 	if err == nil {
@@ -53,10 +54,15 @@
 	}
 	if err != nil {
 		_ = m.Logger.Log("event", "agents_unreadable", "code", int(result.StoreCorrupt), "error", err)
-		return
+		return nil
 	}
 	m.Store.remember(m.Self, list.GetAgents(), true)
-	_ = m.Logger.Log("event", "agents_remembered", "agents", len(list.GetAgents()))
+	_ = m.Logger.Log("event", "agents_remembered", "processes", len(list.GetAgents()))
+	var tunnels []netip.AddrPort
+	for _, p := range list.GetAgents() {
+		tunnels = append(tunnels, netip.AddrPortFrom(addressOf(p.GetAddress()), uint16(p.GetTunnelPort())))
+	}
+	return tunnels
 }
 
 // Run writes the list whenever it has changed, until ctx is done. Nothing waits for it: a slow disk delays only the file.
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -18,12 +18,12 @@
 	at     time.Time
 }
 
-// apply takes over an answer. One that names changes after another position than the last one is left out: the answers of
-// two calls have crossed.
-func (c *replica) apply(now time.Time, response *pb.SyncResponse) {
+// apply takes over an answer. It reports false for one that names changes after another position than the last one: the
+// answers of two calls have crossed.
+func (c *replica) apply(now time.Time, response *pb.SyncResponse) bool {
 	partial := response.GetPartial()
 	if partial && response.GetFeed() != c.position.Feed {
-		return
+		return false
 	}
 	if !partial {
 		c.records = make(map[key]received, len(response.GetRecords()))
@@ -36,6 +36,7 @@
 		delete(c.records, key{Kind(m.GetKind()), m.GetAddress()})
 	}
 	c.position = Position{response.GetFeed(), response.GetPosition()}
+	return true
 }
 
 // list returns the records. A process that was not silent when it was told about has reported since, or the control VM
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -146,6 +146,9 @@
 	}
 	s.lists[addressBits(control)] = struct{}{}
 	for _, a := range agents {
+		if Kind(a.GetKind()) != KindAgent {
+			continue
+		}
 		told := remembered{State(a.GetState()), a.GetIncarnation()}
 		if old, ok := s.remembered[a.GetAddress()]; !ok || told.state < old.state {
 			s.remembered[a.GetAddress()] = told // of different lists, the one with the most use for its upstream holds
@@ -208,19 +211,21 @@
 	return s.own
 }
 
-// memorable returns the agents to remember, in the order of their addresses. Not ok means that the roster may lack some.
-func (s *Store) memorable(now time.Time) (agents []*pb.Record, ok bool) {
+// memorable returns the agents and entries to remember, in the order of their addresses. Not ok means that the roster may
+// lack some.
+func (s *Store) memorable(now time.Time) (processes []*pb.Record, ok bool) {
 	if !s.Settled(now) {
 		return nil, false
 	}
 	for _, r := range s.List(now) {
-		if r.Kind != KindAgent {
+		if r.Kind == KindControl {
 			continue
 		}
-		agents = append(agents, &pb.Record{
-			Address: addressBits(r.Address), State: uint32(r.State), Incarnation: r.Incarnation,
+		processes = append(processes, &pb.Record{
+			Kind: uint32(r.Kind), Address: addressBits(r.Address), TunnelPort: uint32(r.TunnelPort),
+			State: uint32(r.State), Incarnation: r.Incarnation,
 		})
 	}
-	slices.SortFunc(agents, func(a, b *pb.Record) int { return cmp.Compare(a.GetAddress(), b.GetAddress()) })
-	return agents, true
+	slices.SortFunc(processes, func(a, b *pb.Record) int { return cmp.Compare(a.GetAddress(), b.GetAddress()) })
+	return processes, true
 }
