Settle a roster with the settled roster of another control VM

Ruled out: agents that report late (all had reported by 36.0 s), polls of the processes (84 ms).

Change: an exchange says that the roster of the sender is settled and that it hears the leader; the receiver has all its records and is settled as well.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -203,7 +203,9 @@
 	keeper.Load(time.Now())
 	go keeper.Run(ctx)
 	go a.measureSpread(ctx)
-	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.partners, Flows: a.flows, Copies: a.cfg.Tolerated}
+	exchange := &roster.Exchanger{
+		Store: a.store, Self: a.record, Peers: a.partners, Flows: a.flows, Copies: a.cfg.Tolerated, Current: a.Current,
+	}
 	go exchange.Run(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -20,6 +20,8 @@
 	Flows *openflows.Book         // nil if open flows are not remembered
 	// Copies is how many other control VMs get what agents report of their flows: as many as may lose their disks at once.
 	Copies int
+	// Current reports whether this control VM hears the leader of its group. Without it others do not rely on its roster.
+	Current func() bool
 
 	clients map[netip.AddrPort]pb.Roster
 }
@@ -86,7 +88,10 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	now := time.Now()
-	request := &pb.ExchangeRequest{Records: wireRecords(e.Store.List(now)), Remembered: e.Store.ownList(now)}
+	request := &pb.ExchangeRequest{
+		Records: wireRecords(e.Store.List(now)), Remembered: e.Store.ownList(now),
+		Settled: e.Current() && e.Store.Settled(now),
+	}
 	if e.Flows != nil {
 		request.Flows = e.Flows.Given(peer)
 		if copies {
--- a/internal/roster/memory_test.go
+++ b/internal/roster/memory_test.go
@@ -154,3 +154,27 @@
 	(&roster.Memory{Directory: dir, Store: store, Self: netip.AddrFrom4([4]byte{10, 0, 0, 200}), Logger: log.NewNopLogger()}).Run(ctx)
 	g.Expect(filepath.Glob(filepath.Join(dir, "*"))).To(gomega.BeEmpty())
 }
+
+// Once one control VM knows all live processes, those that it tells know them too. (Found on seomra-iarratas-grown trouble-1:
+// three control VMs had settled rosters after 0.3 s and gave no list any more, so the other two waited for 1.2 s, and half of
+// the agents with them.) A control VM that does not hear its leader may be cut off and lack processes.
+func TestSettledRosterSettlesOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	exchange := func(current bool) *roster.Store {
+		whole := roster.NewStore(start.Add(-time.Minute), noQuorum)
+		whole.Put(start, withUpstream(1, roster.StateActive, 11), withUpstream(2, roster.StateActive, 12))
+		d := &switchable{}
+		d.current.Store(current)
+		response, err := roster.NewServer(whole, d, func() time.Time { return start }).Exchange(t.Context(), &pb.ExchangeRequest{})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		store := roster.NewStore(start, noQuorum)
+		request := &pb.ExchangeRequest{Records: response.GetRecords(), Settled: response.GetSettled()}
+		_, err = roster.NewServer(store, d, func() time.Time { return start }).Exchange(t.Context(), request)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return store
+	}
+	told := exchange(true)
+	g.Expect(told.Settled(start)).To(gomega.BeTrue())
+	g.Expect(told.List(start)).To(gomega.HaveLen(2))
+	g.Expect(exchange(false).Settled(start)).To(gomega.BeFalse())
+}
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -66,7 +66,10 @@
 func (s *Server) Exchange(_ context.Context, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
 	now := s.now()
 	s.store.learn(now, request)
-	response := &pb.ExchangeResponse{Records: wireRecords(s.store.List(now)), Remembered: s.store.ownList(now)}
+	response := &pb.ExchangeResponse{
+		Records: wireRecords(s.store.List(now)), Remembered: s.store.ownList(now),
+		Settled: s.declarations.Current() && s.store.Settled(now),
+	}
 	if s.Flows != nil {
 		s.Flows.Adopt(now, request.GetFlows())
 		response.Copies = s.Flows.Incoming(now, request.GetCopies())
@@ -78,9 +81,10 @@
 type exchanged interface {
 	GetRecords() []*pb.Record
 	GetRemembered() *pb.Remembered
+	GetSettled() bool
 }
 
-// learn takes over what another control VM told.
+// learn takes over what another control VM told. With all records of a settled roster, this one is settled as well.
 func (s *Store) learn(now time.Time, from exchanged) {
 	for _, m := range from.GetRecords() {
 		s.Put(now, FromWire(m))
@@ -88,6 +92,11 @@
 	if list := from.GetRemembered(); list != nil {
 		s.remember(addressOf(list.GetControl()), list.GetAgents(), false)
 	}
+	if from.GetSettled() {
+		s.mu.Lock()
+		s.told = true
+		s.mu.Unlock()
+	}
 }
 
 func wireRecords(records []Record) []*pb.Record {
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -47,6 +47,7 @@
 	started time.Time
 	grown   time.Time // when an unknown agent reported last
 	early   bool      // all remembered agents reported before settling had passed
+	told    bool      // another control VM gave all records of its settled roster
 
 	quorum     func() int            // lists that are needed to know all agents; 0 while that is not known
 	remembered map[uint32]remembered // agents of all lists, by address
@@ -126,7 +127,7 @@
 // settled is Settled for callers that hold mu.
 func (s *Store) settled(now time.Time) bool {
 	s.early = s.early || s.complete()
-	return s.early || now.Sub(s.started) >= settling
+	return s.early || s.told || now.Sub(s.started) >= settling
 }
 
 // Quiet reports whether new flows may be placed: no unknown agent has reported for a while, all agents in the lists that
