Tell other control VMs only what has changed

Ruled out: longer pauses (a new upstream would be unknown to most entries for as long), relays of all that a control VM knows (4 copies of each change; and with ages that others refresh, two control VMs keep a dead process alive for each other).

Change: each control VM asks every other one for the changes of the processes that report to that one. Unsettled control VMs get everything, and those that cannot reach a third one what the other knows of that. The property test found on the way: a process that moves away and back between two looks of the feed, claims that are forgotten while a position is kept, and, in the feed for processes as it was, a silent process that reports once between two looks and looks silent for longer than it is.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -203,9 +203,7 @@
 	keeper.Load(time.Now())
 	go keeper.Run(ctx)
 	go a.measureSpread(ctx)
-	exchange := &roster.Exchanger{
-		Store: a.store, Self: a.record, Peers: a.partners, Flows: a.flows, Copies: a.cfg.Tolerated, Current: a.Current,
-	}
+	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.partners, Flows: a.flows, Copies: a.cfg.Tolerated}
 	go exchange.Run(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/plantainseam/plantainseam/internal/openflows"
@@ -19,19 +20,28 @@
 	Peers func() []netip.AddrPort // RPC addresses of the other control VMs
 	Flows *openflows.Book         // nil if open flows are not remembered
 	// Copies is how many other control VMs get what agents report of their flows: as many as may lose their disks at once.
-	Copies int
-	// Current reports whether this control VM hears the leader of its group. Without it others do not rely on its roster.
-	Current func() bool
+	Copies   int
+	partners map[netip.AddrPort]*partner // used by Run only
+}
 
-	clients map[netip.AddrPort]pb.Roster
+// partner is another control VM.
+type partner struct {
+	at       netip.AddrPort
+	client   pb.Roster
+	idle     chan struct{} // holds a value while no call is under way
+	answered atomic.Int64  // Unix nanoseconds of the last answer, or of the first call
 }
 
+// unreachedAfter is the time without an answer after which other control VMs are asked for what a control VM knows: two
+// exchanges that fail.
+const unreachedAfter = 2 * exchangePeriod
+
 // exchangePeriod is the time in which each other control VM is asked once.
 const exchangePeriod = 400 * time.Millisecond
 
 // Run exchanges until ctx is done.
 func (e *Exchanger) Run(ctx context.Context) {
-	e.clients = map[netip.AddrPort]pb.Roster{}
+	e.partners = map[netip.AddrPort]*partner{}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -44,8 +54,17 @@
 		e.Store.Put(now, e.Self())
 		peers := e.Peers()
 		copyTo := e.copyTo(peers)
+		unreached := e.unreached(now, peers)
 		for _, peer := range peers {
-			go e.exchange(ctx, peer, e.client(peer), slices.Contains(copyTo, peer))
+			p := e.partner(peer)
+			select {
+			case <-p.idle:
+				go func() {
+					e.exchange(ctx, p, slices.Contains(copyTo, peer), unreached)
+					p.idle <- struct{}{}
+				}()
+			default: // the answers of two calls could cross
+			}
 		}
 		if e.Store.Settled(now) {
 			timer.Reset(exchangePeriod)
@@ -55,16 +74,30 @@
 	}
 }
 
-func (e *Exchanger) client(peer netip.AddrPort) pb.Roster {
-	c, ok := e.clients[peer]
+func (e *Exchanger) partner(at netip.AddrPort) *partner {
+	p, ok := e.partners[at]
 	if !ok {
 		transport := &http.Transport{
-			DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext, MaxConnsPerHost: 1, IdleConnTimeout: idleConnection,
+			DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, MaxConnsPerHost: 1, IdleConnTimeout: idleConnection,
 		}
-		c = pb.NewRosterProtobufClient("http://"+peer.String(), &http.Client{Transport: transport})
-		e.clients[peer] = c
+		p = &partner{at: at, idle: make(chan struct{}, 1)}
+		p.client = pb.NewRosterProtobufClient("http://"+at.String(), &http.Client{Transport: transport})
+		p.idle <- struct{}{}
+		p.answered.Store(time.Now().UnixNano())
+		e.partners[at] = p
 	}
-	return c
+	return p
+}
+
+// unreached returns the addresses of the control VMs that do not answer. Another one may reach them.
+func (e *Exchanger) unreached(now time.Time, peers []netip.AddrPort) []uint32 {
+	var out []uint32
+	for _, peer := range peers {
+		if now.Sub(time.Unix(0, e.partner(peer).answered.Load())) >= unreachedAfter {
+			out = append(out, addressBits(peer.Addr()))
+		}
+	}
+	return out
 }
 
 // copyTo returns the control VMs that get copies: those that follow this one in the order of their addresses, the first one
@@ -84,29 +117,41 @@
 }
 
 // exchange makes one call. A failure needs no retry: the next round repeats it.
-func (e *Exchanger) exchange(ctx context.Context, peer netip.AddrPort, client pb.Roster, copies bool) {
+func (e *Exchanger) exchange(ctx context.Context, p *partner, copies bool, unreached []uint32) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	now := time.Now()
-	request := &pb.ExchangeRequest{
-		Records: wireRecords(e.Store.List(now)), Remembered: e.Store.ownList(now),
-		Settled: e.Current() && e.Store.Settled(now),
-	}
-	if e.Flows != nil {
-		request.Flows = e.Flows.Given(peer)
-		if copies {
-			request.Copies = e.Flows.Outgoing(now, peer)
-		}
-	}
-	response, err := client.Exchange(ctx, request)
+	request := e.request(now, p, copies)
+	request.Unreached = unreached
+	response, err := p.client.Exchange(ctx, request)
 	if err != nil {
 		return
 	}
 	if e.Flows != nil {
-		e.Flows.Copied(now, peer, response.GetCopies())
+		e.Flows.Copied(now, p.at, response.GetCopies())
 	}
 	if request.Flows != nil {
-		e.Flows.Taken(peer)
+		e.Flows.Taken(p.at)
+	}
+	p.answered.Store(time.Now().UnixNano())
+	e.Store.Follow(time.Now(), p.at.Addr(), response)
+	e.Store.learn(response.GetRemembered())
+}
+
+func (e *Exchanger) request(now time.Time, p *partner, copies bool) *pb.ExchangeRequest {
+	position := e.Store.position(p.at.Addr())
+	request := &pb.ExchangeRequest{
+		Self: ToWire(e.Self()), Remembered: e.Store.ownList(now), Feed: position.Feed, Position: position.Change,
+	}
+	if !e.Store.Settled(now) {
+		request.Known = wireRecords(e.Store.List(now)) // it may be 400 ms until the other one asks
+		request.Unsettled = true
+	}
+	if e.Flows != nil {
+		request.Flows = e.Flows.Given(p.at)
+		if copies {
+			request.Copies = e.Flows.Outgoing(now, p.at)
+		}
 	}
-	e.Store.learn(time.Now(), response)
+	return request
 }
--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -30,9 +30,11 @@
 	Change uint64
 }
 
-// feed numbers the changes of a roster that matter to entries and agents, so that an answer holds only what is new to the
-// process that asks. It is safe for concurrent use.
+// feed numbers the changes of a roster that matter to entries and agents, or to other control VMs, so that an answer holds
+// only what is new to the process that asks. It is safe for concurrent use.
 type feed struct {
+	controls bool // for other control VMs
+
 	mu        sync.Mutex
 	id        uint64
 	change    uint64 // number of the last change
@@ -47,6 +49,15 @@
 	record Record
 	missed int
 	change uint64
+	at     time.Time
+}
+
+// sameSilence reports whether a process has not been heard since the record was told, or is not silent now and then.
+func (t told) sameSilence(now time.Time, missed int, age time.Duration) bool {
+	if missed == 0 || t.missed != missed {
+		return missed == t.missed
+	}
+	return now.Add(-age).Sub(t.at.Add(-t.record.Age)) < refreshPause
 }
 
 type removal struct {
@@ -54,8 +65,8 @@
 	at     time.Time
 }
 
-func newFeed() *feed {
-	return &feed{id: rand.Uint64() | 1, told: map[key]told{}, removed: map[key]removal{}}
+func newFeed(controls bool) *feed {
+	return &feed{controls: controls, id: rand.Uint64() | 1, told: map[key]told{}, removed: map[key]removal{}}
 }
 
 // news is what a process does not know yet.
@@ -76,6 +87,9 @@
 	n := news{position: Position{f.id, f.change}, whole: p.Feed != f.id || p.Change < f.floor || p.Change > f.change}
 	for _, t := range f.told {
 		if n.whole || t.change > p.Change {
+			if t.missed > 0 {
+				t.record.Age += now.Sub(t.at)
+			}
 			n.records = append(n.records, t.record)
 		}
 	}
@@ -95,19 +109,21 @@
 	f.refreshed = now
 	listed := make(map[key]struct{}, len(records))
 	for _, r := range records {
-		if r.Kind == KindEntry {
-			continue // nobody looks up entries
+		if !f.controls {
+			if r.Kind == KindEntry {
+				continue // nobody looks up entries
+			}
+			r.Process, r.Sequence = 0, 0 // of use to control VMs only
 		}
-		r.Process, r.Sequence = 0, 0 // of use to control VMs only
 		k := key{r.Kind, addressBits(r.Address)}
 		listed[k] = struct{}{}
 		old, known := f.told[k]
 		missed := missedReports(r.Age)
-		if known && missed == old.missed && !matters(old.record, r, len(records)) {
+		if known && old.sameSilence(now, missed, r.Age) && !f.matters(old.record, r, len(records)) {
 			continue
 		}
 		f.change++
-		f.told[k] = told{r, missed, f.change}
+		f.told[k] = told{r, missed, f.change, now}
 		delete(f.removed, k)
 	}
 	for k := range f.told {
@@ -134,18 +150,25 @@
 }
 
 // matters reports whether a record differs from what was told in a way that changes decisions. n is the size of the roster.
-func matters(before, now Record, n int) bool {
-	if load := int(now.Flows) - int(before.Flows); n <= exactLoads && load != 0 || max(load, -load) > tolerated(before.Flows) {
-		return true
-	}
-	if load := int(now.Busy) - int(before.Busy); n <= exactLoads && load != 0 || max(load, -load) > tolerated(before.Busy) {
+// Versions matter to control VMs only.
+func (f *feed) matters(before, now Record, n int) bool {
+	if loadMatters(before.Flows, now.Flows, n) || loadMatters(before.Busy, now.Busy, n) {
 		return true
 	}
 	if (before.Warmup > 0) != (now.Warmup > 0) {
 		return true
 	}
-	before.Flows, before.Busy, before.Age, before.Version, before.Warmup = now.Flows, now.Busy, now.Age, now.Version, now.Warmup
+	before.Flows, before.Busy, before.Age, before.Warmup = now.Flows, now.Busy, now.Age, now.Warmup
+	before.Sequence = now.Sequence
+	if !f.controls {
+		before.Version = now.Version
+	}
 	return before != now
 }
 
-func tolerated(load uint32) int { return 1 + int(load)/loadTolerance }
+func loadMatters(before, now uint32, n int) bool {
+	change := max(before, now) - min(before, now)
+	return change > 0 && (n <= exactLoads || change > tolerated(before))
+}
+
+func tolerated(load uint32) uint32 { return 1 + load/loadTolerance }
--- a/internal/roster/feed_test.go
+++ b/internal/roster/feed_test.go
@@ -81,7 +81,7 @@
 				min(missedReports(g.Age), mostMissed) != missedReports(w.Age) {
 				t.Fatalf("got %+v, want %+v", g, w)
 			}
-			if off := max(g.Flows, w.Flows) - min(g.Flows, w.Flows); off > 0 && (len(want) <= exactLoads || int(off) > tolerated(g.Flows)) {
+			if off := max(g.Flows, w.Flows) - min(g.Flows, w.Flows); off > 0 && (len(want) <= exactLoads || off > tolerated(g.Flows)) {
 				t.Fatalf("%d records: got %d flows, want %d", len(want), g.Flows, w.Flows)
 			}
 		}
@@ -91,7 +91,7 @@
 // A removal that is no longer remembered must not leave a process with an agent that has been gone for long.
 func TestLongPauseGetsTheWholeRoster(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	f := newFeed()
+	f := newFeed(false)
 	list := func(agents ...int) func(time.Time) []Record {
 		return func(time.Time) []Record {
 			var out []Record
--- /dev/null
+++ b/internal/roster/main_test.go
@@ -0,0 +1,15 @@
+package roster
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The seed is fixed so that every run takes the same schedules; -rapid.checks and -rapid.seed override it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "400")
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- a/internal/roster/memory_test.go
+++ b/internal/roster/memory_test.go
@@ -168,9 +168,7 @@
 		response, err := roster.NewServer(whole, d, func() time.Time { return start }).Exchange(t.Context(), &pb.ExchangeRequest{})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		store := roster.NewStore(start, noQuorum)
-		request := &pb.ExchangeRequest{Records: response.GetRecords(), Settled: response.GetSettled()}
-		_, err = roster.NewServer(store, d, func() time.Time { return start }).Exchange(t.Context(), request)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
+		store.Follow(start, netip.AddrFrom4([4]byte{10, 0, 0, 200}), response)
 		return store
 	}
 	told := exchange(true)
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -51,6 +51,8 @@
 	Process       uint64        // names the start of the reporting process; 0 if it does not count its reports
 	Sequence      uint64        // number of its report
 	Age           time.Duration // since the process was heard by a control VM
+
+	joined uint64 // number of the report with which the process began to report to this control VM; for its feed only
 }
 
 func addressBits(a netip.Addr) uint32 {
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -21,14 +21,15 @@
 	Flows *openflows.Book // nil if open flows are not remembered
 
 	store        *Store
-	feed         *feed
+	feed         *feed // for processes
+	others       *feed // for other control VMs
 	declarations Declarations
 	now          func() time.Time
 }
 
 // NewServer returns a server of the store.
 func NewServer(store *Store, d Declarations, now func() time.Time) *Server {
-	return &Server{store: store, feed: newFeed(), declarations: d, now: now}
+	return &Server{store: store, feed: newFeed(false), others: newFeed(true), declarations: d, now: now}
 }
 
 // Sync implements the twirp service.
@@ -39,9 +40,7 @@
 		self.Age = 0
 		s.store.Put(now, self)
 	}
-	for _, m := range request.GetKnown() {
-		s.store.Put(now, FromWire(m))
-	}
+	s.store.put(now, false, fromWire(request.GetKnown()))
 	response := &pb.SyncResponse{
 		Current: s.declarations.Current(), Settled: s.store.Settled(now), Quiet: s.store.Quiet(now),
 	}
@@ -52,10 +51,7 @@
 	}
 	n := s.feed.since(now, Position{request.GetFeed(), request.GetPosition()}, s.store.List)
 	response.Feed, response.Position, response.Partial = n.position.Feed, n.position.Change, !n.whole
-	response.Records = wireRecords(n.records)
-	for _, k := range n.removed {
-		response.Removed = append(response.Removed, &pb.Record{Kind: uint32(k.kind), Address: k.address})
-	}
+	response.Records, response.Removed = wireRecords(n.records), wireKeys(n.removed)
 	if report := request.GetFlows(); report != nil && s.Flows != nil {
 		response.Flows, response.Orphans = s.Flows.Report(now, request.GetSelf().GetAddress(), report)
 	}
@@ -65,11 +61,17 @@
 // Exchange implements the twirp service.
 func (s *Server) Exchange(_ context.Context, request *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
 	now := s.now()
-	s.store.learn(now, request)
-	response := &pb.ExchangeResponse{
-		Records: wireRecords(s.store.List(now)), Remembered: s.store.ownList(now),
-		Settled: s.declarations.Current() && s.store.Settled(now),
+	if request.GetSelf() != nil {
+		s.store.Put(now, FromWire(request.GetSelf()))
 	}
+	s.store.put(now, false, fromWire(request.GetKnown()))
+	s.store.learn(request.GetRemembered())
+	// Settled is asked before the changes are listed, so that they hold all that it speaks of.
+	response := &pb.ExchangeResponse{Settled: s.declarations.Current() && s.store.Settled(now), Remembered: s.store.ownList(now)}
+	n := s.others.since(now, Position{request.GetFeed(), request.GetPosition()}, s.store.reporting)
+	response.Feed, response.Position, response.Partial = n.position.Feed, n.position.Change, !n.whole
+	response.Records, response.Removed = wireRecords(n.records), wireKeys(n.removed)
+	response.Others = wireRecords(s.store.elsewhere(now, request.GetUnsettled(), request.GetUnreached()))
 	if s.Flows != nil {
 		s.Flows.Adopt(now, request.GetFlows())
 		response.Copies = s.Flows.Incoming(now, request.GetCopies())
@@ -77,26 +79,11 @@
 	return response, nil
 }
 
-// exchanged is what both directions of an exchange carry.
-type exchanged interface {
-	GetRecords() []*pb.Record
-	GetRemembered() *pb.Remembered
-	GetSettled() bool
-}
-
-// learn takes over what another control VM told. With all records of a settled roster, this one is settled as well.
-func (s *Store) learn(now time.Time, from exchanged) {
-	for _, m := range from.GetRecords() {
-		s.Put(now, FromWire(m))
-	}
-	if list := from.GetRemembered(); list != nil {
+// learn takes over the list of another control VM.
+func (s *Store) learn(list *pb.Remembered) {
+	if list != nil {
 		s.remember(addressOf(list.GetControl()), list.GetAgents(), false)
 	}
-	if from.GetSettled() {
-		s.mu.Lock()
-		s.told = true
-		s.mu.Unlock()
-	}
 }
 
 func wireRecords(records []Record) []*pb.Record {
@@ -106,3 +93,19 @@
 	}
 	return out
 }
+
+func fromWire(messages []*pb.Record) []Record {
+	out := make([]Record, 0, len(messages))
+	for _, m := range messages {
+		out = append(out, FromWire(m))
+	}
+	return out
+}
+
+func wireKeys(keys []key) []*pb.Record {
+	var out []*pb.Record
+	for _, k := range keys {
+		out = append(out, &pb.Record{Kind: uint32(k.kind), Address: k.address})
+	}
+	return out
+}
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -35,9 +36,19 @@
 	address uint32
 }
 
+// kept is a record.
 type kept struct {
 	record Record
-	heard  time.Time
+	heard  time.Time // by any control VM, when the record was made
+	direct bool      // the process reports here
+	joined uint64    // number of the report with which it began to
+}
+
+// claims is what another control VM has told of the processes that report to it.
+type claims struct {
+	answered time.Time
+	position Position         // of the last answer
+	alive    map[key]struct{} // not silent
 }
 
 // Store holds the records that a control VM knows. It is safe for concurrent use.
@@ -52,6 +63,7 @@
 	quorum     func() int            // lists that are needed to know all agents; 0 while that is not known
 	remembered map[uint32]remembered // agents of all lists, by address
 	lists      map[uint32]struct{}   // control VMs whose lists are included
+	claims     map[uint32]*claims    // of other control VMs, by address
 	own        *pb.Remembered        // list of this control VM
 }
 
@@ -67,49 +79,170 @@
 	return &Store{
 		records: map[key]kept{}, started: now, grown: now,
 		quorum: quorum, remembered: map[uint32]remembered{}, lists: map[uint32]struct{}{},
+		claims: map[uint32]*claims{},
 	}
 }
 
-// Put stores records. Of one process the one with the highest number holds, and otherwise the one that was heard last.
+// Put stores reports of processes to this control VM.
 func (s *Store) Put(now time.Time, records ...Record) {
+	s.put(now, true, records)
+}
+
+// put stores records. Of one process the one with the highest number holds, and otherwise the one that was heard last.
+func (s *Store) put(now time.Time, direct bool, records []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range records {
 		k := key{r.Kind, addressBits(r.Address)}
-		heard := now.Add(-r.Age)
+		next := kept{record: r, heard: now.Add(-r.Age), direct: direct, joined: r.Sequence}
 		old, ok := s.records[k]
-		if ok && overtaken(r, heard, old) {
+		if ok && s.overtaken(k, next, old) {
 			continue
 		}
 		if !ok && r.Kind == KindAgent {
 			s.grown = now
 		}
-		s.records[k] = kept{r, heard}
+		if old.direct && old.record.Process == r.Process && r.Sequence == old.record.Sequence+1 {
+			next.joined = old.joined // it has not reported elsewhere meanwhile
+		}
+		s.records[k] = next
 	}
 }
 
 // overtaken reports whether a record is older than the one that is kept. A report that is sent to several control VMs may
 // arrive at one of them after the next report has arrived elsewhere.
-func overtaken(r Record, heard time.Time, old kept) bool {
-	if r.Process != 0 && r.Process == old.record.Process && r.Sequence != old.record.Sequence {
-		return r.Sequence < old.record.Sequence
+func (s *Store) overtaken(k key, next, old kept) bool {
+	if next.record.Process != 0 && next.record.Process == old.record.Process && next.record.Sequence != old.record.Sequence {
+		return next.record.Sequence < old.record.Sequence
+	}
+	return s.heardAt(k, old).After(next.heard)
+}
+
+// heardAt returns when a process was heard last. A control VM that answers has heard those that report to it, unless it has
+// called them silent. The caller holds mu.
+func (s *Store) heardAt(k key, r kept) time.Time {
+	at := r.heard
+	for _, c := range s.claims {
+		if _, alive := c.alive[k]; alive && c.answered.After(at) {
+			at = c.answered
+		}
+	}
+	return at
+}
+
+// Follow stores what the control VM at an address has answered.
+func (s *Store) Follow(now time.Time, from netip.Addr, response *pb.ExchangeResponse) {
+	records := fromWire(response.GetRecords())
+	s.put(now, false, fromWire(response.GetOthers()))
+	s.put(now, false, records)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.claims[addressBits(from)]
+	if c == nil {
+		c = &claims{alive: map[key]struct{}{}}
+		s.claims[addressBits(from)] = c
+	}
+	if !response.GetPartial() {
+		for k := range c.alive {
+			s.withdraw(c, k, c.answered)
+		}
+	}
+	for _, m := range response.GetRemoved() {
+		s.withdraw(c, key{Kind(m.GetKind()), m.GetAddress()}, c.answered)
+	}
+	for _, r := range records {
+		k := key{r.Kind, addressBits(r.Address)}
+		if missedReports(r.Age) == 0 {
+			c.alive[k] = struct{}{}
+		} else {
+			s.withdraw(c, k, now.Add(-r.Age))
+		}
+	}
+	c.answered, c.position = now, Position{response.GetFeed(), response.GetPosition()}
+	s.told = s.told || response.GetSettled()
+}
+
+// position returns what was told by the control VM at an address.
+func (s *Store) position(of netip.Addr) Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.claims[addressBits(of)]; c != nil {
+		return c.position
+	}
+	return Position{}
+}
+
+// withdraw ends the claim of a control VM that a process lives, which was heard last at the given time. The caller holds mu.
+func (s *Store) withdraw(c *claims, k key, heard time.Time) {
+	if _, claimed := c.alive[k]; !claimed {
+		return
+	}
+	delete(c.alive, k)
+	if r, ok := s.records[k]; ok && heard.After(r.heard) {
+		r.heard = heard
+		s.records[k] = r
 	}
-	return old.heard.After(heard)
 }
 
 // List returns all records that have not expired.
 func (s *Store) List(now time.Time) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.list(now)
+}
+
+// reporting returns the records of the processes that report to this control VM. Their age does not depend on others, so
+// that control VMs do not go on telling each other that a process lives.
+func (s *Store) reporting(now time.Time) []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Record
+	for _, r := range s.list(now) {
+		if k := s.records[key{r.Kind, addressBits(r.Address)}]; k.direct {
+			r.Age, r.joined = now.Sub(k.heard), k.joined
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// elsewhere returns the records of processes that report to other control VMs: all, or those of the ones at the addresses.
+func (s *Store) elsewhere(now time.Time, all bool, addresses []uint32) []Record {
+	if !all && len(addresses) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(s.list(now), func(r Record) bool {
+		k := key{r.Kind, addressBits(r.Address)}
+		return !all && !s.claimed(k, addresses) || s.records[k].direct
+	})
+}
+
+// claimed reports whether one of the control VMs at the addresses says that a process lives. The caller holds mu.
+func (s *Store) claimed(k key, addresses []uint32) bool {
+	return slices.ContainsFunc(addresses, func(a uint32) bool {
+		c := s.claims[a]
+		if c == nil {
+			return false
+		}
+		_, alive := c.alive[k]
+		return alive
+	})
+}
+
+// list is List for callers that hold mu.
+func (s *Store) list(now time.Time) []Record {
+	maps.DeleteFunc(s.claims, func(_ uint32, c *claims) bool { return now.Sub(c.answered) > expiry })
 	out := make([]Record, 0, len(s.records))
 	for k, v := range s.records {
-		age := now.Sub(v.heard)
+		age := now.Sub(s.heardAt(k, v))
 		if age > expiry || v.record.Leaving && v.record.State == StateVacant && age > leavingExpiry {
 			delete(s.records, k)
 			continue
 		}
 		v.record.Age = age
-		if s.presumedVacant(v) {
+		if s.presumedVacant(k, v) {
 			v.record.State = StateVacant
 		}
 		out = append(out, v.record)
@@ -190,9 +323,9 @@
 
 // presumedVacant reports whether an agent that has not heard an upstream holds no flows: it had none before the start of
 // this store, or is in none of the lists of a majority, or its draining upstream went with all others. The caller holds mu.
-func (s *Store) presumedVacant(k kept) bool {
-	r := k.record
-	if r.Kind != KindAgent || r.State != StateNone || k.heard.Sub(s.started) >= memoryTrust {
+func (s *Store) presumedVacant(k key, v kept) bool {
+	r := v.record
+	if r.Kind != KindAgent || r.State != StateNone || s.heardAt(k, v).Sub(s.started) >= memoryTrust {
 		return false
 	}
 	before, known := s.remembered[addressBits(r.Address)]
