Lose all power in the soak

Cause: the soak hit one control VM at a time, so nothing in it played what a common start needs: orphans, invitations, lists of agents, torn writes behind the last synced record.

Change: from time to time all processes are killed at once, in half of the cases together with the hosts. Some control VMs then find a torn write at the end of their replicated log, or no files that are only hints.

The check on resets (a flow that its host holds must not be reset) covers orphans.

--- a/soak/run.go
+++ b/soak/run.go
@@ -115,7 +115,11 @@
 	}()
 	end := time.Now().Add(time.Duration(s.Seconds) * time.Second)
 	for time.Now().Before(end) {
-		s.inject()
+		if s.random.IntN(outageEvery) > 0 {
+			s.inject()
+		} else if err := s.outage(); err != nil {
+			return err
+		}
 		time.Sleep(time.Duration(200+s.random.IntN(1500)) * time.Millisecond)
 	}
 	s.faults.Wait()
