Call a roster complete only with the records that complete it

A control VM asked whether its roster is settled at the time of the call, but answered with records that it had listed up to 20 ms before; all agents had reported in between. Besides, an agent that was remembered without an upstream counted as back although it had not heard its upstream.

Ruled out: orphans (no control VM remembered a flow), rosters that are settled by others (no leader was elected yet).

Change: a feed keeps whether the roster was settled when it was listed. An agent that was not known to have an upstream does not complete a roster.

--- a/internal/roster/feed.go
+++ b/internal/roster/feed.go
@@ -40,6 +40,7 @@
 	change    uint64 // number of the last change
 	floor     uint64 // removals up to this change are forgotten
 	refreshed time.Time
+	settled   bool // the roster was settled at that time
 	told      map[key]told
 	removed   map[key]removal
 }
@@ -73,18 +74,24 @@
 type news struct {
 	position Position
 	whole    bool // records is the whole roster
+	settled  bool // with the news, the process knows all live processes
 	records  []Record
 	removed  []key
 }
 
-// since returns the news after a position. list returns the roster.
-func (f *feed) since(now time.Time, p Position, list func(time.Time) []Record) news {
+// listing returns the records of a feed, and whether the roster is settled with them.
+type listing func(now time.Time) (records []Record, settled bool)
+
+// since returns the news after a position.
+func (f *feed) since(now time.Time, p Position, list listing) news {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refreshed.IsZero() || now.Sub(f.refreshed) >= refreshPause {
-		f.refresh(now, list(now))
+		records, settled := list(now)
+		f.refresh(now, records)
+		f.settled = settled
 	}
-	n := news{position: Position{f.id, f.change}, whole: p.Feed != f.id || p.Change < f.floor || p.Change > f.change}
+	n := news{position: Position{f.id, f.change}, settled: f.settled, whole: p.Feed != f.id || p.Change < f.floor || p.Change > f.change}
 	for _, t := range f.told {
 		if n.whole || t.change > p.Change {
 			if t.missed > 0 {
--- a/internal/roster/feed_test.go
+++ b/internal/roster/feed_test.go
@@ -92,13 +92,13 @@
 func TestLongPauseGetsTheWholeRoster(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	f := newFeed(false)
-	list := func(agents ...int) func(time.Time) []Record {
-		return func(time.Time) []Record {
+	list := func(agents ...int) listing {
+		return func(time.Time) ([]Record, bool) {
 			var out []Record
 			for _, i := range agents {
 				out = append(out, feedAgent(i, 1))
 			}
-			return out
+			return out, true
 		}
 	}
 	first := f.since(now, Position{}, list(1, 2))
@@ -115,6 +115,47 @@
 	}
 }
 
+// A roster may be called complete only together with the records that complete it. A process that is told so too early takes
+// the flows of the missing agents for lost and resets them. (Soak, seed 327: all processes were killed, and an agent that had
+// been told of itself only reset a flow that another upstream held.)
+func TestCompleteRosterHoldsAllRecords(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	store := NewStore(now, func() int { return 1 })
+	store.remember(netip.AddrFrom4([4]byte{10, 0, 0, 200}), []*pb.Record{ToWire(feedAgent(1, 0)), ToWire(feedAgent(2, 0))}, true)
+	server := NewServer(store, noDeclarations{}, func() time.Time { return now })
+	settled := 0
+	for range 5 {
+		for i := 1; i <= 2; i++ {
+			now = now.Add(refreshPause / 4)
+			response, err := server.Sync(context.Background(), &pb.SyncRequest{Self: ToWire(feedAgent(i, 0))})
+			if err != nil {
+				t.Fatal(err)
+			}
+			exchanged, err := server.Exchange(context.Background(), &pb.ExchangeRequest{Unsettled: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, a := range []struct {
+				settled bool
+				records int
+			}{
+				{response.GetSettled(), len(response.GetRecords())},
+				{exchanged.GetSettled(), len(exchanged.GetRecords()) + len(exchanged.GetOthers())},
+			} {
+				if a.settled && a.records < 2 {
+					t.Fatalf("%d of 2 records are called complete", a.records)
+				}
+				if a.settled {
+					settled++
+				}
+			}
+		}
+	}
+	if settled == 0 {
+		t.Fatal("the roster was never called complete")
+	}
+}
+
 // BenchmarkRosterAnswer measures what one process costs a control VM at the target size of docs/CAPACITY.md: 5,900 agents
 // with 1,070 flows each, of which 7 begin and 7 end a second, and one report a process in each interval.
 func BenchmarkRosterAnswer(b *testing.B) {
--- a/internal/roster/memory_test.go
+++ b/internal/roster/memory_test.go
@@ -56,6 +56,8 @@
 		{"one has not heard its upstream", [][]roster.Record{{first, second}, {first, second}},
 			[]roster.Record{first, withUpstream(2, roster.StateNone, 0)}, false},
 		{"one had no upstream", [][]roster.Record{{first, empty}, {first, empty}}, []roster.Record{first}, true},
+		{"one was not known to have an upstream, and is not yet", [][]roster.Record{{first, unheard}, {first, unheard}},
+			[]roster.Record{first, unheard}, false},
 		{"lists without agents", [][]roster.Record{{}, {}}, []roster.Record{first}, false},
 		{"a draining upstream is missing and the others went on", [][]roster.Record{{first, second, leaving}, {first, second, leaving}},
 			[]roster.Record{first, second, unheard}, false},
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -41,16 +41,14 @@
 		s.store.Put(now, self)
 	}
 	s.store.put(now, false, fromWire(request.GetKnown()))
-	response := &pb.SyncResponse{
-		Current: s.declarations.Current(), Settled: s.store.Settled(now), Quiet: s.store.Quiet(now),
-	}
+	response := &pb.SyncResponse{Current: s.declarations.Current(), Quiet: s.store.Quiet(now)}
 	version, content := s.declarations.Held()
 	response.Declared = version
 	if version > request.GetDeclared() {
 		response.Declaration = content
 	}
-	n := s.feed.since(now, Position{request.GetFeed(), request.GetPosition()}, s.store.List)
-	response.Feed, response.Position, response.Partial = n.position.Feed, n.position.Change, !n.whole
+	n := s.feed.since(now, Position{request.GetFeed(), request.GetPosition()}, s.store.listSettled)
+	response.Settled, response.Feed, response.Position, response.Partial = n.settled, n.position.Feed, n.position.Change, !n.whole
 	response.Records, response.Removed = wireRecords(n.records), wireKeys(n.removed)
 	if report := request.GetFlows(); report != nil && s.Flows != nil {
 		response.Flows, response.Orphans = s.Flows.Report(now, request.GetSelf().GetAddress(), report)
@@ -66,9 +64,9 @@
 	}
 	s.store.put(now, false, fromWire(request.GetKnown()))
 	s.store.learn(request.GetRemembered())
-	// Settled is asked before the changes are listed, so that they hold all that it speaks of.
-	response := &pb.ExchangeResponse{Settled: s.declarations.Current() && s.store.Settled(now), Remembered: s.store.ownList(now)}
+	response := &pb.ExchangeResponse{Remembered: s.store.ownList(now)}
 	n := s.others.since(now, Position{request.GetFeed(), request.GetPosition()}, s.store.reporting)
+	response.Settled = n.settled && s.declarations.Current()
 	response.Feed, response.Position, response.Partial = n.position.Feed, n.position.Change, !n.whole
 	response.Records, response.Removed = wireRecords(n.records), wireKeys(n.removed)
 	response.Others = wireRecords(s.store.elsewhere(now, request.GetUnsettled(), request.GetUnreached()))
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -191,11 +191,21 @@
 	return s.list(now)
 }
 
-// reporting returns the records of the processes that report to this control VM. Their age does not depend on others, so
+// listSettled returns all records that have not expired, and whether the roster is settled with them.
+func (s *Store) listSettled(now time.Time) (records []Record, settled bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	settled = s.settled(now) // first, since it decides which agents are presumed vacant
+	return s.list(now), settled
+}
+
+// reporting returns the records of the processes that report to this control VM, and whether the roster is settled with them
+// and those that report to others. Their age does not depend on others, so
 // that control VMs do not go on telling each other that a process lives.
-func (s *Store) reporting(now time.Time) []Record {
+func (s *Store) reporting(now time.Time) (records []Record, settled bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	settled = s.settled(now)
 	var out []Record
 	for _, r := range s.list(now) {
 		if k := s.records[key{r.Kind, addressBits(r.Address)}]; k.direct {
@@ -203,7 +213,7 @@
 			out = append(out, r)
 		}
 	}
-	return out
+	return out, settled
 }
 
 // elsewhere returns the records of processes that report to other control VMs: all, or those of the ones at the addresses.
@@ -308,7 +318,7 @@
 		}
 		r, ok := s.records[key{KindAgent, address}]
 		switch {
-		case ok && r.record.Incarnation == before.incarnation:
+		case ok && before.incarnation != 0 && r.record.Incarnation == before.incarnation:
 			same++
 		case ok && r.record.Incarnation != 0:
 			anew++
