Move processes to a control VM in their failure domain

Ruled out: fewer invitations (they decide how soon callers are served), redirects by control VMs (they do not know what else a process can reach).

--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -45,6 +45,9 @@
 	Answered func(from netip.AddrPort, response *pb.SyncResponse)
 	// Dial opens connections; net.Dialer if nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// NearerAfter is how long a control VM in another failure domain is used before one in this domain is tried; nearerAfter
+	// if 0.
+	NearerAfter time.Duration
 }
 
 // Client reports the record of this process to one control VM and fetches the roster and the declaration from it. It
@@ -60,6 +63,8 @@
 	mu       sync.Mutex
 	seeds    []netip.AddrPort
 	known    []netip.AddrPort // control VMs of the last roster, nearest first
+	near     []netip.AddrPort // of them, those in the failure domain of this process
+	moveAt   time.Time        // when one of them is tried
 	invited  []netip.AddrPort // control VMs that have started since one was in use
 	link     *link            // to the control VM in use; nil while there is none
 	lost     bool             // a control VM was in use before
@@ -77,6 +82,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = new(net.Dialer).DialContext
 	}
+	if cfg.NearerAfter == 0 {
+		cfg.NearerAfter = nearerAfter
+	}
 	return &Client{cfg: cfg, seeds: cfg.Seeds, wake: make(chan struct{}, 1), came: make(chan netip.AddrPort, maxInvited), tried: map[netip.AddrPort]*link{}}
 }
 
@@ -199,6 +207,7 @@
 		c.leave("no_leader_heard", nil)
 		return false
 	}
+	c.moveNearer(ctx)
 	return true
 }
 
@@ -331,6 +340,7 @@
 	}
 	c.mu.Lock()
 	c.link, c.attempts, c.invited = l, 0, nil
+	c.moveAt = c.nextMove()
 	regained := c.lost
 	c.lost = false
 	c.mu.Unlock()
@@ -395,9 +405,12 @@
 	if v.Settled {
 		c.last, c.lastAt = v.Records, time.Now()
 	}
-	c.known = c.known[:0]
+	c.known, c.near = c.known[:0], c.near[:0]
 	for _, r := range controls {
 		c.known = append(c.known, netip.AddrPortFrom(r.Address, c.cfg.RPCPort))
+		if r.FailureDomain == c.cfg.Domain && missedReports(r.Age) == 0 {
+			c.near = append(c.near, netip.AddrPortFrom(r.Address, c.cfg.RPCPort))
+		}
 	}
 	c.mu.Unlock()
 	c.cfg.Update(v)
