Accept an upstream whose time of day was set back

Cause: of two starts of an upstream the one with the later time of birth holds. After its VM's time of day was set back, a new start looks earlier; its announcements were stale for ever, and the upstream got no new flows until its agent restarted.

Change: while the known start is silent, another one that announces itself twice with rising numbers takes its place. Its flows are not reset as orphans, because the order of the two starts is not certain.

Before: TestTimeOfDaySetBack fails (stale). After: it passes.

--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -98,10 +98,14 @@
 	a.mu.Lock()
 	now := time.Now()
 	before := a.tracker.Upstream(now)
+	earlier, _ := a.tracker.Last()
 	outcome := a.tracker.Announce(now, n)
 	after := a.tracker.Upstream(now)
 	a.machine.SetUpstream(after, outcome == upstream.Restarted)
 	orphans := a.machine.TakeOrphans()
+	if n.Born < earlier.Born {
+		orphans = nil // the order of the two starts is not certain
+	}
 	if outcome != upstream.Stale {
 		a.machine.Confirm(a.now())
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -45,13 +45,15 @@
 	known bool
 	gone  bool
 	heard time.Time
+
+	older Announcement // of a start that looks earlier, heard last while the known one was silent
 }
 
 // Announce processes an announcement.
 func (t *Tracker) Announce(now time.Time, a Announcement) Outcome {
 	same := t.known && a.ID == t.last.ID && a.Born == t.last.Born
 	switch {
-	case t.known && a.Born < t.last.Born:
+	case t.known && a.Born < t.last.Born && !t.replaces(now, a):
 		return Stale
 	case same && (a.Sequence <= t.last.Sequence || t.gone):
 		return Stale
@@ -60,12 +62,25 @@
 	}
 	restarted := t.known && !same
 	t.last, t.known, t.gone, t.heard = a, true, false, now
+	t.older = Announcement{}
 	if restarted {
 		return Restarted
 	}
 	return Accepted
 }
 
+// replaces reports whether a start that looks earlier than the known one is the one that lives: the known one is silent, and
+// the other goes on announcing itself. The time of day of its VM was set back between the two; a delayed announcement comes
+// alone.
+func (t *Tracker) replaces(now time.Time, a Announcement) bool {
+	if !t.Silent(now) {
+		return false
+	}
+	again := a.ID == t.older.ID && a.Born == t.older.Born && a.Sequence > t.older.Sequence
+	t.older = a
+	return again
+}
+
 // Leave processes the end of the process with the identity. It reports whether that is the one that was known.
 func (t *Tracker) Leave(id string) bool {
 	if !t.known || t.last.ID != id {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -61,6 +61,23 @@
 	}
 }
 
+// After the time of day was set back, the start that lives looks earlier than the one before. Taken for stale for ever, its
+// upstream would get no new flows until the agent restarts.
+func TestTimeOfDaySetBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	tracker := upstream.Tracker{Silence: time.Second}
+	tracker.Announce(start, announcement("a", 20, 9, false))
+	g.Expect(tracker.Announce(at(700), announcement("b", 10, 1, false))).To(gomega.Equal(upstream.Stale), "the other is not silent")
+	g.Expect(tracker.Announce(at(1400), announcement("b", 10, 2, false))).To(gomega.Equal(upstream.Stale), "it may be delayed")
+	g.Expect(tracker.Announce(at(1400), announcement("b", 10, 2, false))).To(gomega.Equal(upstream.Stale), "a second copy")
+	g.Expect(tracker.Announce(at(1500), announcement("c", 5, 3, false))).To(gomega.Equal(upstream.Stale), "a third start")
+	g.Expect(tracker.Announce(at(2100), announcement("b", 10, 3, false))).To(gomega.Equal(upstream.Stale))
+	g.Expect(tracker.Announce(at(2800), announcement("b", 10, 4, false))).To(gomega.Equal(upstream.Restarted))
+	g.Expect(tracker.Upstream(at(2800)).Active).To(gomega.BeTrue())
+	g.Expect(tracker.Announce(at(2900), announcement("a", 20, 10, false))).To(gomega.Equal(upstream.Restarted), "it was alive after all")
+}
+
 // A silent upstream gets no new flows, a gone one is unknown, and its late announcement changes nothing.
 func TestSilenceAndEnd(t *testing.T) {
 	g := gomega.NewWithT(t)
