Harm datagrams between processes in the soak

Cause: the soak harmed the calls to control VMs only. What entries and agents say to each other by datagrams (packets, holders, misses) never got lost, late or one-way there.

Change: a relay has a socket at the address of each entry and agent and passes datagrams on to where the process binds; receivers see the sender's machine. Some datagrams of a machine are lost or late, none arrives, or none leaves. The stand-in's settings name an address to bind to, as they did for control VMs.

Clocks stay out: the system uses the time of day only in the announcements of hosts, which tests cover.

--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -27,7 +27,7 @@
 
 // NewAgent opens the sockets of an agent.
 func NewAgent(cfg Config) (*Agent, error) {
-	conns, err := udp.Listen(cfg.Tunnel, 1)
+	conns, err := udp.Listen(cfg.arrival(), 1)
 	if err != nil {
 		return nil, fmt.Errorf("agent: %w", err)
 	}
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -33,8 +33,9 @@
 // Config holds what entries and agents need.
 type Config struct {
 	Name    string
-	Domain  string // failure domain
-	Tunnel  netip.AddrPort
+	Domain  string           // failure domain
+	Tunnel  netip.AddrPort   // where other processes and the fabric send datagrams
+	Listen  netip.AddrPort   // where they arrive; Tunnel if not set
 	Seeds   []netip.AddrPort // RPC addresses of control VMs
 	RPCPort uint16
 	Codec   Codec
@@ -49,6 +50,14 @@
 	UpstreamSilence time.Duration
 }
 
+// arrival returns the address to bind to.
+func (c Config) arrival() netip.AddrPort {
+	if c.Listen.IsValid() {
+		return c.Listen
+	}
+	return c.Tunnel
+}
+
 // maxPacket is the largest packet of a caller or upstream in bytes: a head of 32 and 1,200 of data.
 const maxPacket = 1232
 
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -27,7 +27,7 @@
 
 // NewEntry opens the socket of an entry.
 func NewEntry(cfg Config) (*Entry, error) {
-	conns, err := udp.Listen(cfg.Tunnel, 1)
+	conns, err := udp.Listen(cfg.arrival(), 1)
 	if err != nil {
 		return nil, fmt.Errorf("entry: %w", err)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -29,6 +29,7 @@
 	site      *standin.Site
 	processes map[string]*process
 	proxies   map[string]*proxy // by core machine
+	datagrams *datagrams
 	random    *rand.Rand
 	busy      sync.Map // machines with a fault under way
 	cores     sync.Mutex
@@ -64,6 +65,10 @@
 	}
 	s := &soak{options: o, site: site, processes: map[string]*process{}, proxies: map[string]*proxy{},
 		random: rand.New(rand.NewPCG(o.Seed, 1))}
+	if s.datagrams, err = newDatagrams(site.Machines); err != nil {
+		s.end()
+		return nil, err
+	}
 	for _, m := range site.Machines {
 		if m.Class != "core" {
 			continue
@@ -174,7 +179,7 @@
 		p.signal(syscall.SIGCONT)
 		return nil
 	}
-	harm := func(w wire) func(p *process) error {
+	rewire := func(w wire) func(p *process) error {
 		return func(p *process) error {
 			s.proxies[p.machine.Name].set(w)
 			time.Sleep(away)
@@ -182,6 +187,14 @@
 			return nil
 		}
 	}
+	disturb := func(h harm) func(p *process) error {
+		return func(p *process) error {
+			s.datagrams.set(p.machine, h)
+			time.Sleep(away)
+			s.datagrams.set(p.machine, unharmed)
+			return nil
+		}
+	}
 	kill := func(p *process) error { return p.restart(syscall.SIGKILL, away) }
 	stop := func(p *process) error { return p.restart(syscall.SIGTERM, 0) }
 	return []fault{
@@ -190,8 +203,10 @@
 		{"freeze", "edge", freeze}, {"freeze", "side", freeze}, {"freeze", "core", freeze},
 		{"wipe", "core", s.wipe}, {"crash host", "side", s.crashHost}, {"drain host", "side", s.drainHost},
 		{"hang up", "edge", hangUp}, {"hang up", "core", hangUp},
-		{"slow wire", "core", harm(wireSlow)}, {"silent wire", "core", harm(wireSilent)},
-		{"half wire", "core", harm(wireHalf)}, {"refusing wire", "core", harm(wireRefusing)},
+		{"slow wire", "core", rewire(wireSlow)}, {"silent wire", "core", rewire(wireSilent)},
+		{"half wire", "core", rewire(wireHalf)}, {"refusing wire", "core", rewire(wireRefusing)},
+		{"lossy datagrams", "edge", disturb(lossy)}, {"late datagrams", "edge", disturb(late)}, {"deaf", "edge", disturb(deaf)},
+		{"lossy datagrams", "side", disturb(lossy)}, {"late datagrams", "side", disturb(late)}, {"mute", "side", disturb(mute)},
 	}
 }
 
@@ -280,6 +295,9 @@
 			p.close()
 		}
 	}
+	if s.datagrams != nil {
+		s.datagrams.close()
+	}
 	for _, p := range s.processes {
 		p.stop(syscall.SIGKILL)
 		_ = p.log.Close() // nothing reads it any more
