Count only requests that bring work as load

Late copies of answered requests counted, requests of flows that the upstream does not hold, of flows that it has ended with a reset or an end, and requests that their callers had given up, until the flow was forgotten.

Change: a request counts while the upstream holds the flow, has not answered it, and neither end has ended the flow.

--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -35,6 +35,8 @@
 	held    bool // the upstream answered
 	busy    bool // the last request is not answered
 	closing bool
+	upTo    uint32 // sequence number of the caller up to which the upstream had received when it answered last
+	replied bool   // upTo is set
 	remembrance
 }
 
@@ -116,10 +118,13 @@
 	if len(h.Visited) > 0 || h.Only {
 		f.told = Endpoint{} // the entry was looking for the flow
 	}
-	if s.Data > 0 && !f.busy {
+	if f.held && !f.closing && !f.busy && f.asks(s) {
 		f.busy = true
 		a.busy++
 	}
+	if s.Fin || s.Rst {
+		a.callerLeaves(f, s)
+	}
 	d := Decision{Verdict: ToHost, Reason: ReasonKnown}
 	f.passed = false
 	if !a.upstream.Present && !s.Opens() && !f.held && !h.Only {
@@ -132,6 +137,28 @@
 	return d
 }
 
+// asks reports whether a segment of the caller carries data that the upstream has not answered. A late copy of an answered
+// request brings no work.
+func (f *agentFlow) asks(s Segment) bool {
+	return s.Data > 0 && (!f.replied || int32(s.Seq+uint32(s.Data)-f.upTo) > 0)
+}
+
+// callerLeaves updates a flow whose caller ends it. An upstream does not answer the request of such a flow.
+func (a *Agent) callerLeaves(f *agentFlow, s Segment) {
+	if f.busy {
+		f.busy = false
+		a.busy--
+	}
+	if !s.Rst || f.closing {
+		return
+	}
+	f.closing = true
+	a.noteEnd(s.Flow, f)
+	if f.held {
+		a.open--
+	}
+}
+
 // passOpening gives a packet that opens a flow to another agent.
 func (a *Agent) passOpening(s Segment, h Forward, reason Reason) Decision {
 	visited := append(slices.Clone(h.Visited), a.Self)
@@ -193,7 +220,10 @@
 			change = Opened
 		}
 	}
-	if f.busy && s.Data > 0 {
+	if s.Data > 0 && s.Ack {
+		f.upTo, f.replied = s.AckNo, true
+	}
+	if f.busy && (s.Data > 0 || s.Fin || s.Rst) {
 		f.busy = false
 		a.busy--
 	}
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -304,3 +304,69 @@
 	}
 	g.Expect(e.Flows()).To(gomega.Equal(maxEntryFlows))
 }
+
+// Requests that bring no work to the upstream must not count as its load, because placement goes by it: late copies of
+// answered requests, those of flows that the upstream has not answered (lost ones, which are searched), and those that the
+// caller has given up. (khuree-swatch inc-aa0d: for 3 s after the start up to 69 unanswered requests were counted at upstreams
+// with 3 slots, and placement avoided those with the most.)
+func TestBusyFlowsAreThoseThatBringWork(t *testing.T) {
+	header := Forward{Entry: tunnel(200), Version: 1, Service: ServiceTag("s")}
+	const first uint32 = 0xffffff00 // numbers wrap around
+	second := first
+	second += 300
+	third := second + 300
+	type play struct {
+		request func(seq uint32)
+		answer  func(upTo uint32)
+		open    func()
+		caller  func(s Segment)
+		host    func(s Segment)
+	}
+	for _, c := range []struct {
+		name string
+		play func(p play)
+		busy int
+	}{
+		{"a request", func(p play) { p.open(); p.request(first) }, 1},
+		{"sent twice", func(p play) { p.open(); p.request(first); p.request(first) }, 1},
+		{"answered", func(p play) { p.open(); p.request(first); p.answer(second) }, 0},
+		{"a late copy", func(p play) { p.open(); p.request(first); p.answer(second); p.request(first) }, 0},
+		{"the next one", func(p play) { p.open(); p.request(first); p.answer(second); p.request(second) }, 1},
+		{"the next one, answered", func(p play) {
+			p.open()
+			p.request(first)
+			p.answer(second)
+			p.request(second)
+			p.answer(third)
+		}, 0},
+		{"of a flow that the upstream has not answered", func(p play) { p.request(first) }, 0},
+		{"refused by the upstream with a reset", func(p play) { p.open(); p.request(first); p.host(Segment{Rst: true}) }, 0},
+		{"on a flow that the upstream has ended", func(p play) {
+			p.open()
+			p.host(Segment{Ack: true, Fin: true})
+			p.request(first)
+		}, 0},
+		{"given up with a reset", func(p play) { p.open(); p.request(first); p.caller(Segment{Rst: true}) }, 0},
+		{"given up with an end", func(p play) { p.open(); p.request(first); p.caller(Segment{Ack: true, Fin: true}) }, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a, f := beside(), caller(1)
+			c.play(play{
+				open: func() {
+					a.FromPeer(0, Segment{Flow: f, Syn: true}, header)
+					a.FromHost(0, Segment{Flow: f, Syn: true, Ack: true})
+				},
+				request: func(seq uint32) { a.FromPeer(0, Segment{Flow: f, Ack: true, Seq: seq, Data: 300}, header) },
+				answer:  func(upTo uint32) { a.FromHost(0, Segment{Flow: f, Ack: true, AckNo: upTo, Data: 100}) },
+				caller:  func(s Segment) { s.Flow = f; a.FromPeer(0, s, header) },
+				host:    func(s Segment) { s.Flow = f; a.FromHost(0, s) },
+			})
+			flows, busy := a.Load()
+			gomega.NewWithT(t).Expect(busy).To(gomega.Equal(c.busy))
+			a.Expire(100_000)
+			if flows, busy = a.Load(); flows != 0 || busy != 0 {
+				t.Fatalf("%d flows, %d busy after all have expired", flows, busy)
+			}
+		})
+	}
+}
