--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -13,14 +13,15 @@
 	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
 
-// Exchanger exchanges records with the other control VMs, one after the other.
+// Exchanger asks the other control VMs for what has changed among the processes that report to them.
 type Exchanger struct {
 	Store *Store
 	Self  func() Record
 	Peers func() []netip.AddrPort // RPC addresses of the other control VMs
 	Flows *openflows.Book         // nil if open flows are not remembered
 	// Copies is how many other control VMs get what agents report of their flows: as many as may lose their disks at once.
-	Copies   int
+	Copies int
+
 	partners map[netip.AddrPort]*partner // used by Run only
 }
 
@@ -32,12 +33,13 @@
 	answered atomic.Int64  // Unix nanoseconds of the last answer, or of the first call
 }
 
-// unreachedAfter is the time without an answer after which other control VMs are asked for what a control VM knows: two
-// exchanges that fail.
-const unreachedAfter = 2 * exchangePeriod
-
-// exchangePeriod is the time in which each other control VM is asked once.
-const exchangePeriod = 400 * time.Millisecond
+const (
+	// exchangePeriod is the time in which each other control VM is asked once: as often as a process reports.
+	exchangePeriod = Interval
+	// unreachedAfter is the time without an answer after which others are asked for what a control VM knows: two exchanges
+	// that fail.
+	unreachedAfter = 2 * exchangePeriod
+)
 
 // Run exchanges until ctx is done.
 func (e *Exchanger) Run(ctx context.Context) {
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -1,6 +1,7 @@
 // Package roster keeps the soft state of the VMs that forward whole packets: which processes live, what their upstreams
 // take and how loaded they are. Nothing of it is replicated through a log. Each process reports itself to one control VM,
-// control VMs exchange what they heard, and the report that was heard last holds.
+// control VMs tell each other what has changed among the processes that report to them, and of one process the report with the
+// highest number holds.
 package roster
 
 import (
