--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -361,10 +361,10 @@
 				caller:  func(s Segment) { s.Flow = f; a.FromPeer(0, s, header) },
 				host:    func(s Segment) { s.Flow = f; a.FromHost(0, s) },
 			})
-			flows, busy := a.Load()
+			_, busy := a.Load()
 			gomega.NewWithT(t).Expect(busy).To(gomega.Equal(c.busy))
 			a.Expire(100_000)
-			if flows, busy = a.Load(); flows != 0 || busy != 0 {
+			if flows, busy := a.Load(); flows != 0 || busy != 0 {
 				t.Fatalf("%d flows, %d busy after all have expired", flows, busy)
 			}
 		})
--- a/internal/roster/invite_test.go
+++ b/internal/roster/invite_test.go
@@ -35,8 +35,6 @@
 	})
 }
 
-func untilDone(ctx context.Context) { <-ctx.Done() }
-
 // After a loss of all power, a control VM that is not among the given ones would be asked by nobody until one of those is
 // back. (khuree-swatch trouble-1: two control VMs were back 0.18 s before the first of the given ones.)
 func TestInvitedControlVMIsAsked(t *testing.T) {
