Do not ask without a pause when answers of control VMs cross

While no control VM hears its leader, a process asks all of them; their answers belong to different rosters, and one that belongs to another roster than the last one made the process ask again at once.

Change: only an answer of the control VM in use that cannot be applied makes a process ask again at once.

Before: TestCrossedAnswersDoNotCauseCalls fails. After: it passes.

--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -221,9 +221,12 @@
 	c.mu.Lock()
 	applied := c.roster.apply(time.Now(), response)
 	v.Records = c.roster.list(time.Now())
+	used := c.link != nil && c.link.at == at
 	c.mu.Unlock()
 	if !applied {
-		c.Wake() // for the whole roster
+		if used {
+			c.Wake() // for the whole roster; without a control VM in use the next attempt is near
+		}
 		return
 	}
 	var controls []Record
--- a/internal/roster/invite_test.go
+++ b/internal/roster/invite_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -102,6 +103,38 @@
 	g.Expect(views[1].Records).To(gomega.HaveLen(2))
 }
 
+// While no control VM hears its leader, their answers cross all the time. Each attempt must be followed by a pause, or all
+// processes ask without one when the control VMs have most to do.
+func TestCrossedAnswersDoNotCauseCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var calls atomic.Int64
+	crossed := func() netip.AddrPort { // knows the feed of another control VM
+		server := httptest.NewServer(pb.NewRosterServer(counting{&calls}))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	}
+	client := roster.NewClient(roster.ClientConfig{
+		Seeds: []netip.AddrPort{crossed(), crossed()}, Domain: "d", Logger: log.NewNopLogger(),
+		Self: func() roster.Record { return agent(1, 0) }, Held: func() uint64 { return 1 }, Update: func(roster.View) {},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	client.Run(ctx)
+	g.Expect(calls.Load()).To(gomega.BeNumerically(">", 0))
+	g.Expect(calls.Load()).To(gomega.BeNumerically("<=", 2*(2000/50+1)), "two calls each 50 ms at most")
+}
+
+// counting is a control VM without a leader whose answers always belong to another roster than the last one.
+type counting struct{ calls *atomic.Int64 }
+
+func (c counting) Sync(context.Context, *pb.SyncRequest) (*pb.SyncResponse, error) {
+	return &pb.SyncResponse{Feed: uint64(c.calls.Add(1)), Partial: true, Declared: 1}, nil
+}
+
+func (counting) Exchange(context.Context, *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	return &pb.ExchangeResponse{}, nil
+}
+
 // A control VM that is back must be known to the processes of before; one whose roster is settled is known to all.
 func TestInviter(t *testing.T) {
 	g := gomega.NewWithT(t)
