Explain silent agents by what entries note later

The explanation of a request that ran into its time limit rests on the age of the agent's last report at the caller's last repeat, 1.4 s after the request. If the agent had reported shortly before it was stopped, or its report arrived late, that age stays under the 1200 ms that tell a silent agent, and no later line corrects it. Ruled out: lost log lines (the line is there) and a wrong flow (the line names the stopped agent). Change: entries log agent_silent and agent_regained when an agent stops or starts getting new flows by its age; explain takes a silence that spans the caller's repeat for the cause. A reset by the agent of an upstream that has started anew has a cause of its own; before, the line that opened the flow was taken for it. The new tests of explain fail on the code before.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -135,15 +135,35 @@
 	var out []Line
 	for _, l := range lines {
 		near := nodes[l.Node] && contextEvents[l.Event] && l.At.After(first.Add(-context)) && l.At.Before(last.Add(context))
-		if l.about(id) || near {
+		if l.about(id) || near || nodes[l.Node] && l.silentDuring(first, last) {
 			out = append(out, l)
 		}
 	}
 	return out
 }
 
+// silentDuring reports whether the line says that an agent was silent at some time between first and last.
+func (l Line) silentDuring(first, last time.Time) bool {
+	since, ok := l.silentSince()
+	return ok && since.Before(last) && l.At.After(first)
+}
+
+// silentSince returns when the agent that the line calls silent reported last.
+func (l Line) silentSince() (time.Time, bool) {
+	if l.Event != "agent_silent" {
+		return time.Time{}, false
+	}
+	age, err := strconv.Atoi(l.field("age_ms"))
+	if err != nil {
+		return time.Time{}, false
+	}
+	return l.At.Add(-time.Duration(age) * time.Millisecond), true
+}
+
 // causes tells what a reason in a flow's last line means.
 var causes = map[string]string{
+	"upstream_started_anew": "the upstream that held the flow has ended or was replaced, and its agent has reset the flow",
+
 	"no_route":         "no declaration in force leads the address anywhere; the caller got a reset, and nothing was run",
 	"no_declaration":   "the process had just started and held no declaration; the packet was dropped",
 	"no_upstream":      "no upstream took the flow; the caller got a reset, and nothing was run",
@@ -158,13 +178,14 @@
 // Cause returns the likely cause of the flow's end in one sentence.
 func Cause(timeline []Line, id string) string {
 	cause := "no line names this flow: its opening packet reached no entry, or its lines were left out of the log"
+	silences := silencesOf(timeline)
 	for _, l := range timeline {
 		switch {
 		case !l.about(id):
 		case l.Event == "flow_ended":
 			cause = "the flow was ended by its upstream or its caller"
 		case l.Event == "flow_unanswered":
-			cause = unanswered(l)
+			cause = unanswered(l, silences)
 		case l.Event == "flow_opened":
 			cause = "the flow was opened; whatever delayed it happened at the upstream or on the way back"
 		case causes[l.field("reason")] != "":
@@ -178,15 +199,42 @@
 // between control VMs and fetches of rosters, 400 ms apart each, add up to that.
 const silentAfterMs = 1200
 
-// unanswered tells why the packets of a flow whose holder is known had no effect.
-func unanswered(l Line) string {
+// silence is a time in which an entry heard nothing of an agent.
+type silence struct {
+	agent        string
+	since, noted time.Time
+}
+
+func silencesOf(timeline []Line) []silence {
+	var out []silence
+	for _, l := range timeline {
+		if since, ok := l.silentSince(); ok {
+			out = append(out, silence{agent: l.field("agent"), since: since, noted: l.At})
+		}
+	}
+	return out
+}
+
+// unanswered tells why the packets of a flow whose holder is known had no effect. The caller's last repeat may come before
+// the agent's silence is long enough to stand out; a silence that is noted later tells.
+func unanswered(l Line, silences []silence) string {
+	agent := l.field("agent")
 	age, err := strconv.Atoi(l.field("age_ms"))
 	if err == nil && age >= silentAfterMs {
-		return fmt.Sprintf("agent %s had not reported for %d ms: its process or VM was down, frozen or cut off", l.field("agent"), age)
+		return fmt.Sprintf("agent %s had not reported for %d ms: its process or VM was down, frozen or cut off", agent, age)
 	}
-	return fmt.Sprintf("agent %s reported until then, but its upstream did not answer in time: it was overloaded, stuck or gone", l.field("agent"))
+	for _, s := range silences {
+		if s.agent == agent && s.since.Before(l.At) && s.noted.After(l.At) {
+			return fmt.Sprintf("agent %s did not report from %s to %s: its process or VM was down, frozen or cut off", agent,
+				s.since.Format(clockFormat), s.noted.Format(clockFormat))
+		}
+	}
+	return fmt.Sprintf("agent %s reported until then, but its upstream did not answer in time: it was overloaded, stuck or gone", agent)
 }
 
+// clockFormat is how times of day stand in a cause.
+const clockFormat = "15:04:05.000"
+
 // Write writes a time line with times relative to its first line.
 func Write(w io.Writer, timeline []Line) error {
 	for _, l := range timeline {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -52,3 +52,46 @@
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Expect(explain.Cause(nil, "1.2.3.4:5")).To(gomega.ContainSubstring("no line names this flow"))
 }
+
+// A caller repeats its last packet 1.4 s after the first one. If the agent had reported shortly before, only a silence that is
+// noted later tells a stopped agent from a slow upstream.
+func TestSilenceNotedAfterTheLastRepeat(t *testing.T) {
+	unanswered := `time=2026-05-21T17:00:04.4Z node=e1 event=flow_unanswered flow=100.64.0.7:1043>198.18.0.1:443 agent=10.1.0.2:8000 age_ms=1100
+`
+	for name, c := range map[string]struct{ line, cause string }{
+		"the agent did not report any more": {
+			"time=2026-05-21T17:00:09.0Z node=e1 event=agent_silent agent=10.1.0.2:8000 age_ms=5700", "did not report from 17:00:03.300"},
+		"another agent was silent": {
+			"time=2026-05-21T17:00:05.4Z node=e1 event=agent_silent agent=10.1.0.3:8000 age_ms=2100", "overloaded, stuck or gone"},
+		"the agent reported again before": {
+			"time=2026-05-21T17:00:04.1Z node=e1 event=agent_silent agent=10.1.0.2:8000 age_ms=2100", "overloaded, stuck or gone"},
+		"the agent reported again and was silent later": {
+			"time=2026-05-21T17:00:07.0Z node=e1 event=agent_silent agent=10.1.0.2:8000 age_ms=2100", "overloaded, stuck or gone"},
+		"the age cannot be read": {
+			"time=2026-05-21T17:00:05.4Z node=e1 event=agent_silent agent=10.1.0.2:8000 age_ms=?", "overloaded, stuck or gone"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			dir := t.TempDir()
+			g.Expect(os.WriteFile(filepath.Join(dir, "e1.log"), []byte(unanswered+c.line+"\n"), 0o600)).To(gomega.Succeed())
+			lines, err := explain.Read(dir)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			id := "100.64.0.7:1043"
+			g.Expect(explain.Cause(explain.Flow(lines, id), id)).To(gomega.ContainSubstring(c.cause))
+		})
+	}
+}
+
+// A reset by the agent of an upstream that has started anew must not be explained by the line that opened the flow.
+func TestResetByTheAgentOfANewUpstream(t *testing.T) {
+	g := gomega.NewWithT(t)
+	dir := t.TempDir()
+	log := `time=2026-05-21T17:00:02Z node=a1 event=flow_opened flow=100.64.0.7:1043>198.18.0.1:443 flows=1
+time=2026-05-21T17:00:09Z node=a1 event=flow_refused flow=100.64.0.7:1043>198.18.0.1:443 reason=upstream_started_anew reset=true
+`
+	g.Expect(os.WriteFile(filepath.Join(dir, "a1.log"), []byte(log), 0o600)).To(gomega.Succeed())
+	lines, err := explain.Read(dir)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	id := "100.64.0.7:1043"
+	g.Expect(explain.Cause(explain.Flow(lines, id), id)).To(gomega.ContainSubstring("has ended or was replaced"))
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -23,6 +23,7 @@
 	counts  *counters
 	waiting *waiting // guarded by mu; nil once the roster is settled
 	later   func(time.Duration, func())
+	silent  map[passthrough.Endpoint]bool // agents that get no new flow because they do not report; guarded by mu
 }
 
 // NewEntry opens the socket of an entry.
@@ -34,8 +35,8 @@
 	e := &Entry{
 		link: newLink(cfg), conn: conns[0], counts: newCounters(),
 		machine: passthrough.NewEntry(passthrough.EndpointOf(cfg.Tunnel), cfg.Domain),
-		waiting: newWaiting(),
-		later:   func(d time.Duration, f func()) { time.AfterFunc(d, f) },
+		waiting: newWaiting(), silent: map[passthrough.Endpoint]bool{},
+		later: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 	}
 	e.client = roster.NewClient(roster.ClientConfig{
 		Seeds: cfg.Seeds, RPCPort: cfg.RPCPort, Domain: cfg.Domain, Logger: cfg.Logger,
@@ -69,6 +70,7 @@
 		e.settled = v.Settled
 		peers := roster.Peers(v.Records)
 		e.noteRoster(peers, v)
+		e.noteSilence(peers)
 		e.machine.SetRoster(e.now(), newRoster(peers, v))
 	}
 	due := e.due(v)
--- a/internal/forwarder/flowlog.go
+++ b/internal/forwarder/flowlog.go
@@ -42,3 +42,22 @@
 func (l *link) logChange(s passthrough.Segment, d passthrough.Decision) {
 	_ = l.cfg.FlowLog.Log("event", "flow_"+string(d.Change), "flow", s.Flow, "flows", d.Flows, "busy", d.Busy)
 }
+
+// noteSilence logs which agents have become too silent for new flows since the last roster, and which report again. The
+// caller holds mu.
+func (e *Entry) noteSilence(peers []passthrough.Peer) {
+	listed := make(map[passthrough.Endpoint]bool, len(e.silent))
+	for _, p := range peers {
+		was := e.silent[p.Tunnel]
+		switch {
+		case p.Silent() && !was:
+			_ = e.cfg.Logger.Log("event", "agent_silent", "agent", p.Tunnel, "age_ms", p.AgeMs)
+		case !p.Silent() && was:
+			_ = e.cfg.Logger.Log("event", "agent_regained", "agent", p.Tunnel, "age_ms", p.AgeMs)
+		}
+		if p.Silent() {
+			listed[p.Tunnel] = true
+		}
+	}
+	e.silent = listed
+}
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -47,7 +47,7 @@
 	usable := func(p *Peer) bool {
 		return p.Service == service && p.Active && !slices.Contains(tried, p.Tunnel)
 	}
-	c.buf = r.rank(f, c.buf, func(p *Peer) bool { return usable(p) && p.AgeMs < freshMs && !avoid(p) })
+	c.buf = r.rank(f, c.buf, func(p *Peer) bool { return usable(p) && !p.Silent() && !avoid(p) })
 	if len(c.buf) == 0 {
 		c.buf = r.rank(f, c.buf, usable)
 	}
@@ -87,7 +87,7 @@
 		p := k.peer
 		class := classRest
 		switch {
-		case p.AgeMs >= freshMs:
+		case p.Silent():
 			class = classSilent
 		case seen[p.Service] >= rankedFirst:
 		case route != nil && route.Allows(p.Service):
--- a/internal/passthrough/roster.go
+++ b/internal/passthrough/roster.go
@@ -20,6 +20,9 @@
 	AgeMs   int64 // since it was heard, as of the time of the roster
 }
 
+// Silent reports whether the agent has not been heard for so long that it gets no new flow while others can take it.
+func (p *Peer) Silent() bool { return p.AgeMs >= freshMs }
+
 // Roster is an immutable view of all agents.
 type Roster struct {
 	Peers   []Peer
