Pass over upstreams whose requests fail

An upstream whose flows are reset looks idle, and placement by open flows and unanswered requests sends it more. Change: the agent judges its upstream by what becomes of requests, reports it as failing, passes new flows on and tries it again after a pause that doubles. The new tests of passthrough fail with the judgement switched off, that of roster on the store before.

--- a/internal/authority/metrics.go
+++ b/internal/authority/metrics.go
@@ -101,6 +101,7 @@
 func agentStates(records []roster.Record) map[string]int {
 	names := map[roster.State]string{
 		roster.StateNone: "unheard", roster.StateActive: "active", roster.StateDraining: "draining", roster.StateVacant: "vacant",
+		roster.StateFailing: "failing",
 	}
 	out := map[string]int{}
 	for _, name := range names {
--- a/internal/authority/metrics_test.go
+++ b/internal/authority/metrics_test.go
@@ -74,6 +74,7 @@
 # TYPE plantainseam_agents gauge
 plantainseam_agents{state="active"} 0
 plantainseam_agents{state="draining"} 0
+plantainseam_agents{state="failing"} 0
 plantainseam_agents{state="unheard"} 0
 plantainseam_agents{state="vacant"} 0
 `), "plantainseam_agents")).To(gomega.Succeed())
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -164,6 +164,8 @@
 var causes = map[string]string{
 	"upstream_started_anew": "the upstream that held the flow has ended or was replaced, and its agent has reset the flow",
 
+	"upstream_failing": "the agent that was chosen has an upstream that fails requests, and another agent was asked",
+
 	"no_route":         "no declaration in force leads the address anywhere; the caller got a reset, and nothing was run",
 	"no_declaration":   "the process had just started and held no declaration; the packet was dropped",
 	"no_upstream":      "no upstream took the flow; the caller got a reset, and nothing was run",
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -62,8 +63,11 @@
 	}
 	if last, ok := a.tracker.Last(); ok {
 		r.State, r.Incarnation = roster.StateActive, last.Incarnation()
-		if !u.Active {
+		switch {
+		case !u.Active:
 			r.State = roster.StateDraining
+		case a.machine.Health(a.now()) == passthrough.Failing:
+			r.State = roster.StateFailing
 		}
 		if u.Cold {
 			r.Warmup = last.Warmup
@@ -101,7 +105,7 @@
 	earlier, _ := a.tracker.Last()
 	outcome := a.tracker.Announce(now, n)
 	after := a.tracker.Upstream(now)
-	a.machine.SetUpstream(after, outcome == upstream.Restarted)
+	a.machine.SetUpstream(a.now(), after, outcome == upstream.Restarted)
 	orphans := a.machine.TakeOrphans()
 	if n.Born < earlier.Born {
 		orphans = nil // the order of the two starts is not certain
@@ -109,7 +113,9 @@
 	if outcome != upstream.Stale {
 		a.machine.Confirm(a.now())
 	}
+	health := a.machine.TakeHealthChange()
 	a.mu.Unlock()
+	a.noteHealth(health)
 	a.resetOrphans(orphans)
 	if before.Active != after.Active || before.Service != after.Service || outcome != upstream.Accepted {
 		_ = a.cfg.Logger.Log("event", "upstream_announced", "upstream", n.ID, "service", n.Service, "sequence", n.Sequence,
@@ -123,7 +129,7 @@
 func (a *Agent) Gone(id string) {
 	a.mu.Lock()
 	known := a.tracker.Leave(id)
-	a.machine.SetUpstream(a.tracker.Upstream(time.Now()), false)
+	a.machine.SetUpstream(a.now(), a.tracker.Upstream(time.Now()), false)
 	a.mu.Unlock()
 	_ = a.cfg.Logger.Log("event", "upstream_gone", "upstream", id, "known", known)
 	if known {
@@ -193,7 +199,9 @@
 	}
 	a.mu.Lock()
 	d := a.machine.FromPeer(a.now(), s, *datagram.Forward)
+	health := a.machine.TakeHealthChange()
 	a.mu.Unlock()
+	a.noteHealth(health)
 	return a.carryOut(s, d, datagram.Packet, out)
 }
 
@@ -208,7 +216,9 @@
 	}
 	a.mu.Lock()
 	d := a.machine.FromHost(a.now(), s)
+	health := a.machine.TakeHealthChange()
 	a.mu.Unlock()
+	a.noteHealth(health)
 	return a.carryOut(s, d, b, out)
 }
 
@@ -250,6 +260,16 @@
 	return out
 }
 
+// noteHealth logs a new opinion of the upstream and reports it at once.
+func (a *Agent) noteHealth(c *passthrough.HealthChange) {
+	if c == nil {
+		return
+	}
+	_ = a.cfg.Logger.Log("event", "upstream_health", "health", c.Health, "failed", math.Round(c.Failed), "answered",
+		math.Round(c.Answered), "hold_ms", c.HoldMs)
+	a.client.Wake()
+}
+
 func (a *Agent) send(b []byte, to netip.AddrPort) {
 	if _, err := a.conn.WriteToUDPAddrPort(b, to); err != nil {
 		a.counts.add("send_error")
@@ -269,7 +289,7 @@
 			if a.dropProvisional() {
 				a.machine.SetTable(nil)
 			}
-			a.machine.SetUpstream(a.tracker.Upstream(time.Now()), false)
+			a.machine.SetUpstream(a.now(), a.tracker.Upstream(time.Now()), false)
 			a.mu.Unlock()
 		}
 	}
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -7,6 +7,7 @@
 	Present bool // it has announced itself and not ended
 	Service string
 	Active  bool // it takes new flows
+	Leaving bool // it has said that it leaves
 	Slots   uint32
 	Cold    bool
 }
@@ -37,6 +38,7 @@
 	closing bool
 	upTo    uint32 // sequence number of the caller up to which the upstream had received when it answered last
 	replied bool   // upTo is set
+	askedMs int64  // when the unanswered request was seen first
 	remembrance
 }
 
@@ -55,6 +57,8 @@
 	orphans  []OpenFlow // flows of an earlier start of the upstream
 
 	confirmedMs int64 // when the present start of the upstream announced itself last
+	outcomes    outcomes
+	toldHealth  Health // by TakeHealthChange
 }
 
 // NewAgent returns an agent in a failure domain.
@@ -68,13 +72,45 @@
 // SetRoster replaces the roster.
 func (a *Agent) SetRoster(r *Roster) { a.roster = r }
 
-// SetUpstream replaces what is known of the upstream. A new incarnation holds no flows.
-func (a *Agent) SetUpstream(u Upstream, restarted bool) {
+// SetUpstream replaces what is known of the upstream. A new incarnation holds no flows; those of one that had not said that it
+// leaves are lost.
+func (a *Agent) SetUpstream(now int64, u Upstream, restarted bool) {
 	a.left = a.upstream.Present && !u.Present || a.left && !u.Present
+	before := a.upstream
 	a.upstream = u
-	if restarted {
-		a.abandon()
+	if !restarted {
+		return
+	}
+	lost := a.open
+	a.abandon()
+	if before.Service != u.Service || before.Leaving {
+		a.outcomes = outcomes{}
+		return
 	}
+	a.outcomes.fail(now, lost)
+}
+
+// Health returns what the outcomes of requests tell of the upstream.
+func (a *Agent) Health(now int64) Health {
+	a.outcomes.age(now)
+	return a.outcomes.health
+}
+
+// HealthChange is a new opinion of the upstream, with its reasons.
+type HealthChange struct {
+	Health           Health
+	Failed, Answered float64 // requests, weighted by age
+	HoldMs           int64   // how long a failing upstream gets no new flow
+}
+
+// TakeHealthChange returns how the health has changed since the last call, or nil.
+func (a *Agent) TakeHealthChange() *HealthChange {
+	o := &a.outcomes
+	if o.health == a.toldHealth {
+		return nil
+	}
+	a.toldHealth = o.health
+	return &HealthChange{Health: o.health, Failed: o.failed, Answered: o.answered, HoldMs: o.holdMs}
 }
 
 // Load returns the open flows and those with an unanswered request.
@@ -105,6 +141,9 @@
 		if ok, reason := a.accepts(s.Flow, h); !ok {
 			return a.passOpening(s, h, reason)
 		}
+		if d, ok := a.spare(now, s, h); ok {
+			return d
+		}
 	}
 	if a.Vacant(now) && (f == nil || !f.held) {
 		return a.passOn(s, h) // nobody would return the packet
@@ -119,11 +158,11 @@
 		f.told = Endpoint{} // the entry was looking for the flow
 	}
 	if f.held && !f.closing && !f.busy && f.asks(s) {
-		f.busy = true
+		f.busy, f.askedMs = true, now
 		a.busy++
 	}
 	if s.Fin || s.Rst {
-		a.callerLeaves(f, s)
+		a.callerLeaves(now, f, s)
 	}
 	d := Decision{Verdict: ToHost, Reason: ReasonKnown}
 	f.passed = false
@@ -144,10 +183,13 @@
 }
 
 // callerLeaves updates a flow whose caller ends it. An upstream does not answer the request of such a flow.
-func (a *Agent) callerLeaves(f *agentFlow, s Segment) {
+func (a *Agent) callerLeaves(now int64, f *agentFlow, s Segment) {
 	if f.busy {
 		f.busy = false
 		a.busy--
+		if now-f.askedMs >= slowestAnswerMs {
+			a.outcomes.fail(now, 1)
+		}
 	}
 	if !s.Rst || f.closing {
 		return
@@ -159,6 +201,16 @@
 	}
 }
 
+// spare passes a packet that opens a flow to another agent while the upstream fails, unless too many others fail as well.
+func (a *Agent) spare(now int64, s Segment, h Forward) (Decision, bool) {
+	if a.outcomes.health == Healthy || a.roster.crowded(a.Self, a.upstream.Service) || !a.outcomes.refuses(now) {
+		return Decision{}, false
+	}
+	d := a.passOpening(s, h, ReasonFailing)
+	d.Reason = ReasonFailing
+	return d, d.Verdict == ToPeer
+}
+
 // passOpening gives a packet that opens a flow to another agent.
 func (a *Agent) passOpening(s Segment, h Forward, reason Reason) Decision {
 	visited := append(slices.Clone(h.Visited), a.Self)
@@ -200,7 +252,7 @@
 	}
 	f.seenMs = now
 	f.noteAnswer(now, s)
-	change := a.answered(f, s)
+	change := a.answered(now, f, s)
 	d := Decision{Verdict: ToCaller, Reason: ReasonAnswer, Change: change, Flows: a.open, Busy: a.busy}
 	if f.held && f.entry != (Endpoint{}) && f.told != f.entry {
 		f.told = f.entry
@@ -211,7 +263,7 @@
 }
 
 // answered updates a flow after a packet of the upstream.
-func (a *Agent) answered(f *agentFlow, s Segment) Change {
+func (a *Agent) answered(now int64, f *agentFlow, s Segment) Change {
 	change := Unchanged
 	if !f.held && !s.Rst {
 		f.held = true
@@ -226,6 +278,11 @@
 	if f.busy && (s.Data > 0 || s.Fin || s.Rst) {
 		f.busy = false
 		a.busy--
+		if s.Data > 0 {
+			a.outcomes.answer(now)
+		} else {
+			a.outcomes.fail(now, 1)
+		}
 	}
 	if (s.Fin || s.Rst) && !f.closing {
 		f.closing = true
--- a/internal/passthrough/bench_test.go
+++ b/internal/passthrough/bench_test.go
@@ -73,7 +73,7 @@
 				var before, after runtime.MemStats
 				e := NewEntry(tunnel(200), "d")
 				a := NewAgent(tunnel(1), "d")
-				a.SetUpstream(Upstream{Present: true, Service: "s", Active: true, Slots: 3}, false)
+				a.SetUpstream(0, Upstream{Present: true, Service: "s", Active: true, Slots: 3}, false)
 				runtime.GC()
 				runtime.ReadMemStats(&before)
 				for i := range flows {
--- a/internal/passthrough/choose.go
+++ b/internal/passthrough/choose.go
@@ -47,7 +47,7 @@
 	usable := func(p *Peer) bool {
 		return p.Service == service && p.Active && !slices.Contains(tried, p.Tunnel)
 	}
-	c.buf = r.rank(f, c.buf, func(p *Peer) bool { return usable(p) && !p.Silent() && !avoid(p) })
+	c.buf = r.rank(f, c.buf, func(p *Peer) bool { return usable(p) && !p.Silent() && !r.spares(p) && !avoid(p) })
 	if len(c.buf) == 0 {
 		c.buf = r.rank(f, c.buf, usable)
 	}
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -32,6 +32,7 @@
 	ReasonAnswer    Reason = "answer"
 	ReasonService   Reason = "wrong_service"
 	ReasonOrphaned  Reason = "upstream_started_anew"
+	ReasonFailing   Reason = "upstream_failing"
 )
 
 // Decision is the outcome for one packet.
--- a/internal/passthrough/net_test.go
+++ b/internal/passthrough/net_test.go
@@ -66,7 +66,7 @@
 	h := n.hosts[at]
 	n.agents[at] = NewAgent(at, "d")
 	n.agents[at].SetTable(n.table)
-	n.agents[at].SetUpstream(Upstream{Present: true, Service: h.service, Active: !h.draining, Slots: 3}, false)
+	n.agents[at].SetUpstream(n.now, Upstream{Present: true, Service: h.service, Active: !h.draining, Slots: 3}, false)
 	delete(n.down, at)
 }
 
@@ -77,7 +77,8 @@
 		h := n.hosts[at]
 		flows, busy := n.agents[at].Load()
 		peers = append(peers, Peer{Tunnel: at, Domain: "d", Service: h.service, Active: !h.draining, Slots: 3,
-			Flows: uint32(flows), Busy: uint32(busy), AgeMs: n.age[at]})
+			Flows: uint32(flows), Busy: uint32(busy), AgeMs: n.age[at],
+			Failing: n.agents[at].Health(n.now) == Failing})
 	}
 	r := NewRoster(peers, n.settled)
 	r.Quiet = !n.growing
--- a/internal/passthrough/openflows_test.go
+++ b/internal/passthrough/openflows_test.go
@@ -11,7 +11,7 @@
 func beside() *Agent {
 	a := NewAgent(tunnel(1), "d")
 	a.SetTable(&Table{Version: 1, Routes: map[Endpoint]*Route{front: NewRoute("r", []Target{{"s", 1}})}, IdleTimeout: 15000})
-	a.SetUpstream(Upstream{Present: true, Service: "s", Active: true, Slots: 3}, false)
+	a.SetUpstream(0, Upstream{Present: true, Service: "s", Active: true, Slots: 3}, false)
 	return a
 }
 
@@ -69,7 +69,7 @@
 			g := gomega.NewWithT(t)
 			a, f := beside(), caller(1)
 			c.play(a, f)
-			a.SetUpstream(Upstream{Present: true, Service: "s", Active: true, Slots: 3}, true)
+			a.SetUpstream(0, Upstream{Present: true, Service: "s", Active: true, Slots: 3}, true)
 			orphans := a.TakeOrphans()
 			if !c.orphan {
 				g.Expect(orphans).To(gomega.BeEmpty())
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -35,7 +35,7 @@
 		}},
 		{"the holder drains", func(n *network, at Endpoint) {
 			n.hosts[at].draining = true
-			n.agents[at].SetUpstream(Upstream{Present: true, Service: "s", Slots: 3}, false)
+			n.agents[at].SetUpstream(n.now, Upstream{Present: true, Service: "s", Slots: 3}, false)
 			n.publish()
 		}},
 		{"agents are added", func(n *network, _ Endpoint) {
@@ -89,7 +89,7 @@
 		spoil func(n *network, at Endpoint)
 	}{
 		{"a draining upstream that only its agent knows of", func(n *network, at Endpoint) {
-			n.agents[at].SetUpstream(Upstream{Present: true, Service: "s", Slots: 3}, false)
+			n.agents[at].SetUpstream(n.now, Upstream{Present: true, Service: "s", Slots: 3}, false)
 		}},
 		{"an upstream that its agent has not heard since its start", func(n *network, at Endpoint) {
 			n.agents[at] = NewAgent(at, "d")
@@ -99,7 +99,7 @@
 		{"a full upstream", func(n *network, at Endpoint) { n.hosts[at].full = true }},
 		{"an address that another service uses again", func(n *network, at Endpoint) {
 			n.hosts[at].service = "other"
-			n.agents[at].SetUpstream(Upstream{Present: true, Service: "other", Active: true, Slots: 3}, true)
+			n.agents[at].SetUpstream(n.now, Upstream{Present: true, Service: "other", Active: true, Slots: 3}, true)
 		}},
 	}
 	for _, c := range cases {
--- a/internal/passthrough/property_test.go
+++ b/internal/passthrough/property_test.go
@@ -75,7 +75,7 @@
 			"drain": func(*rapid.T) {
 				at := agent()
 				n.hosts[at].draining = true
-				n.agents[at].SetUpstream(Upstream{Present: true, Service: n.hosts[at].service, Slots: 3}, false)
+				n.agents[at].SetUpstream(n.now, Upstream{Present: true, Service: n.hosts[at].service, Slots: 3}, false)
 			},
 			"add": func(t *rapid.T) {
 				if added == 60 {
@@ -86,8 +86,9 @@
 				added++
 				n.publish() // an agent without a flow may be unknown to some, but never one that holds flows
 			},
-			"publish":   func(*rapid.T) { n.publish() },
-			"fill host": func(*rapid.T) { h := n.hosts[agent()]; h.full = !h.full },
+			"lose requests": func(t *rapid.T) { n.agents[agent()].outcomes.fail(n.now, rapid.IntRange(1, 5).Draw(t, "requests")) },
+			"publish":       func(*rapid.T) { n.publish() },
+			"fill host":     func(*rapid.T) { h := n.hosts[agent()]; h.full = !h.full },
 			"time": func(t *rapid.T) {
 				n.now += int64(rapid.IntRange(1, 4000).Draw(t, "ms"))
 				for _, e := range n.entries {
--- a/internal/passthrough/roster.go
+++ b/internal/passthrough/roster.go
@@ -13,6 +13,7 @@
 	Domain  string // failure domain
 	Service string
 	Active  bool // its upstream takes new flows
+	Failing bool // requests to its upstream fail
 	Slots   uint32
 	Flows   uint32
 	Busy    uint32
@@ -29,17 +30,67 @@
 	Settled bool // every live agent is in it
 	Quiet   bool // no agent was added lately
 	index   map[Endpoint]int
+	failing map[string]serviceHealth // of services with failing upstreams
 }
 
+// serviceHealth counts the upstreams of a service that take new flows.
+type serviceHealth struct{ active, failing int }
+
 // NewRoster returns a roster of the peers.
 func NewRoster(peers []Peer, settled bool) *Roster {
 	r := &Roster{Peers: peers, Settled: settled, Quiet: settled, index: make(map[Endpoint]int, len(peers))}
 	for i, p := range peers {
 		r.index[p.Tunnel] = i
 	}
+	r.countFailing()
 	return r
 }
 
+func (r *Roster) countFailing() {
+	for _, p := range r.Peers {
+		if !p.Active || !p.Failing || p.Silent() {
+			continue
+		}
+		if r.failing == nil {
+			r.failing = map[string]serviceHealth{}
+		}
+		h := r.failing[p.Service]
+		h.failing++
+		r.failing[p.Service] = h
+	}
+	if r.failing == nil {
+		return
+	}
+	for _, p := range r.Peers {
+		if h, ok := r.failing[p.Service]; ok && p.Active && !p.Silent() {
+			h.active++
+			r.failing[p.Service] = h
+		}
+	}
+}
+
+// spares reports whether a peer gets no new flow because its upstream fails.
+func (r *Roster) spares(p *Peer) bool {
+	h := r.failing[p.Service]
+	return p.Failing && float64(h.failing) <= mostFailingShare*float64(h.active)
+}
+
+// crowded reports whether too many upstreams of a service fail for the one beside self to be passed over.
+func (r *Roster) crowded(self Endpoint, service string) bool {
+	h := serviceHealth{failing: 1}
+	for i := range r.Peers {
+		p := &r.Peers[i]
+		if p.Service != service || !p.Active || p.Silent() {
+			continue
+		}
+		h.active++
+		if p.Failing && p.Tunnel != self {
+			h.failing++
+		}
+	}
+	return float64(h.failing) > mostFailingShare*float64(h.active)
+}
+
 // Find returns the peer with the tunnel address, or nil.
 func (r *Roster) Find(tunnel Endpoint) *Peer {
 	if i, ok := r.index[tunnel]; ok {
--- a/internal/roster/memory_test.go
+++ b/internal/roster/memory_test.go
@@ -178,3 +178,27 @@
 	g.Expect(told.List(start)).To(gomega.HaveLen(2))
 	g.Expect(exchange(false).Settled(start)).To(gomega.BeFalse())
 }
+
+// An upstream that failed requests before a loss of power may hold flows afterwards. Taken for vacant because another list
+// says so, it would not be waited for, and its flows would be reset.
+func TestRememberedFailingAgentIsActive(t *testing.T) {
+	g := gomega.NewWithT(t)
+	first, failing, gone := withUpstream(1, roster.StateActive, 11), withUpstream(2, roster.StateFailing, 12), withUpstream(2, roster.StateVacant, 0)
+	now := start
+	store := roster.NewStore(start, func() int { return 2 })
+	list(t, store, 1, first, failing)
+	list(t, store, 2, first, gone)
+	store.Put(now, first)
+	g.Expect(store.Settled(now)).To(gomega.BeFalse())
+	store.Put(now, withUpstream(2, roster.StateActive, 12))
+	g.Expect(store.Settled(now)).To(gomega.BeTrue())
+}
+
+// A failing upstream takes new flows where no other can, so placement has to know it.
+func TestFailingAgentIsAPeer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	peers := roster.Peers([]roster.Record{withUpstream(1, roster.StateFailing, 11), withUpstream(2, roster.StateActive, 12)})
+	g.Expect(peers).To(gomega.HaveLen(2))
+	g.Expect(peers[0].Active && peers[0].Failing).To(gomega.BeTrue())
+	g.Expect(peers[1].Active && !peers[1].Failing).To(gomega.BeTrue())
+}
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -32,6 +32,7 @@
 	StateActive   State = 1
 	StateDraining State = 2
 	StateVacant   State = 3 // there is no upstream, or it has ended
+	StateFailing  State = 4 // active, but its requests fail: it takes new flows if no other can
 )
 
 // Record describes one process. It is identified by Kind and Address.
@@ -104,8 +105,9 @@
 		}
 		out = append(out, passthrough.Peer{
 			Tunnel: passthrough.Endpoint{IP: r.Address.As4(), Port: r.TunnelPort},
-			Domain: r.FailureDomain, Service: r.Service, Active: r.State == StateActive && !r.Leaving,
-			Slots: r.Slots, Flows: r.Flows, Busy: r.Busy, Cold: r.Warmup > 0, AgeMs: r.Age.Milliseconds(),
+			Domain: r.FailureDomain, Service: r.Service, Active: (r.State == StateActive || r.State == StateFailing) && !r.Leaving,
+			Failing: r.State == StateFailing,
+			Slots:   r.Slots, Flows: r.Flows, Busy: r.Busy, Cold: r.Warmup > 0, AgeMs: r.Age.Milliseconds(),
 		})
 	}
 	return out
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -179,6 +179,9 @@
 			continue
 		}
 		told := remembered{State(a.GetState()), a.GetIncarnation()}
+		if told.state == StateFailing {
+			told.state = StateActive // what it failed may have ended with the restart
+		}
 		if old, ok := s.remembered[a.GetAddress()]; !ok || told.state < old.state {
 			s.remembered[a.GetAddress()] = told // of different lists, the one with the most use for its upstream holds
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -104,7 +104,7 @@
 	return passthrough.Upstream{
 		Present: true,
 		Service: t.last.Service, Slots: t.last.Slots,
-		Active: !t.last.Draining && !t.Silent(now),
-		Cold:   now.Sub(t.heard) < t.last.Warmup,
+		Active: !t.last.Draining && !t.Silent(now), Leaving: t.last.Draining,
+		Cold: now.Sub(t.heard) < t.last.Warmup,
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -207,6 +207,7 @@
 		{"half wire", "core", rewire(wireHalf)}, {"refusing wire", "core", rewire(wireRefusing)},
 		{"lossy datagrams", "edge", disturb(lossy)}, {"late datagrams", "edge", disturb(late)}, {"deaf", "edge", disturb(deaf)},
 		{"lossy datagrams", "side", disturb(lossy)}, {"late datagrams", "side", disturb(late)}, {"mute", "side", disturb(mute)},
+		{"failing host", "side", s.failHost},
 	}
 }
 
@@ -240,6 +241,15 @@
 	return s.site.StartHost(p.machine)
 }
 
+// failHost lets a host reset two requests in five, while its agent hears from it as usual.
+func (s *soak) failHost(p *process) error {
+	h := s.site.Host(p.machine)
+	h.Fail(0.4)
+	time.Sleep(3 * time.Second)
+	h.Fail(0)
+	return nil
+}
+
 func (s *soak) drainHost(p *process) error {
 	s.site.Host(p.machine).Drain()
 	time.Sleep(5 * time.Second)
