Leave the rotation when nobody answers an entry

Change: an entry is not ready once no control VM has answered for a second and agents have left five questions or more unanswered for 600 ms. It is ready again with the first answer, or after 5 s, since an entry without callers asks no agent. TestIsolatedEntryIsNotReady fails with the readiness of before.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -33,7 +33,7 @@
 var contextEvents = map[string]bool{
 	"start": true, "stopping": true, "stop": true, "declaration_in_force": true, "roster_changed": true,
 	"control_lost": true, "control_regained": true, "upstream_announced": true, "upstream_gone": true,
-	"log_lines_omitted": true,
+	"log_lines_omitted": true, "isolated": true,
 }
 
 // Read reads all files of a folder whose names end in .log.
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -24,6 +24,7 @@
 	waiting *waiting // guarded by mu; nil once the roster is settled
 	later   func(time.Duration, func())
 	silent  map[passthrough.Endpoint]bool // agents that get no new flow because they do not report; guarded by mu
+	alone   isolation                     // guarded by mu
 }
 
 // NewEntry opens the socket of an entry.
@@ -62,6 +63,7 @@
 func (e *Entry) update(v roster.View) {
 	t := e.adopt(v)
 	e.mu.Lock()
+	e.alone.heardControl(e.now())
 	if t != nil {
 		e.machine.SetTable(t)
 	}
@@ -125,7 +127,12 @@
 func (e *Entry) Ready() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.table != nil && !e.leaving
+	is, begins := e.alone.isolated(e.now())
+	if begins {
+		_ = e.cfg.Logger.Log("event", "isolated", "control_silent_ms", e.now()-e.alone.controlMs, "unanswered", e.alone.questions,
+			"agents_silent_ms", e.now()-e.alone.questionMs)
+	}
+	return e.table != nil && !e.leaving && !is
 }
 
 // Leave makes the entry not ready. It goes on forwarding.
@@ -177,6 +184,7 @@
 func (e *Entry) forward(s passthrough.Segment, b, out []byte) []byte {
 	e.mu.Lock()
 	d := e.machine.Packet(e.now(), s)
+	e.alone.sent(e.now(), d)
 	if e.waiting != nil && waits(d, e.settled) {
 		e.waiting.keep(e.now(), s, b)
 	}
@@ -223,6 +231,11 @@
 		e.counts.add("malformed")
 		return
 	}
+	if d.Holds != nil || d.Misses != nil {
+		e.mu.Lock()
+		e.alone.heardAgent()
+		e.mu.Unlock()
+	}
 	switch {
 	case d.Holds != nil:
 		e.holds(passthrough.EndpointOf(from), *d.Holds)
--- /dev/null
+++ b/internal/forwarder/isolation_test.go
@@ -0,0 +1,71 @@
+package forwarder
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/plantainseam/plantainseam/internal/passthrough"
+)
+
+// An entry that is cut off from all other processes must leave the rotation, since callers' packets are lost there. One that
+// has lost only the control VMs, or whose agents have nothing to answer, must stay.
+func TestIsolation(t *testing.T) {
+	type step struct {
+		at     int64 // ms
+		do     func(i *isolation, now int64)
+		is     bool
+		begins bool
+	}
+	ask := func(n int) func(i *isolation, now int64) {
+		return func(i *isolation, now int64) {
+			for range n {
+				i.sent(now, passthrough.Decision{Reason: passthrough.ReasonPlaced})
+			}
+		}
+	}
+	known := func(i *isolation, now int64) { i.sent(now, passthrough.Decision{Reason: passthrough.ReasonKnown}) }
+	control := func(i *isolation, now int64) { i.heardControl(now) }
+	agent := func(i *isolation, _ int64) { i.heardAgent() }
+	none := func(*isolation, int64) {}
+	for name, steps := range map[string][]step{
+		"cut off from all":           {{0, control, false, false}, {100, ask(5), false, false}, {699, none, false, false}, {1000, none, true, true}, {1100, none, true, false}},
+		"no control VM answers":      {{0, control, false, false}, {100, ask(9), false, false}, {120, agent, false, false}, {5000, none, false, false}},
+		"agents are silent":          {{0, control, false, false}, {100, ask(9), false, false}, {900, control, false, false}, {1800, none, false, false}},
+		"few questions":              {{0, control, false, false}, {100, ask(4), false, false}, {3000, none, false, false}},
+		"flows with known holders":   {{0, control, false, false}, {100, ask(4), false, false}, {200, known, false, false}, {3000, none, false, false}},
+		"questions after a freeze":   {{0, control, false, false}, {9000, ask(9), false, false}, {9599, none, false, false}, {9600, none, true, true}},
+		"a control VM answers again": {{0, control, false, false}, {100, ask(5), false, false}, {1000, none, true, true}, {1200, control, false, false}, {1300, ask(9), false, false}},
+		"an agent answers again":     {{0, control, false, false}, {100, ask(5), false, false}, {1000, none, true, true}, {1200, agent, false, false}, {1300, ask(9), false, false}, {1800, none, false, false}},
+		"callers are tried again":    {{0, control, false, false}, {100, ask(5), false, false}, {1000, none, true, true}, {5999, none, true, false}, {6000, none, false, false}, {6000, ask(5), false, false}, {6600, none, true, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			var i isolation
+			for n, s := range steps {
+				s.do(&i, s.at)
+				is, begins := i.isolated(s.at)
+				g.Expect(is).To(gomega.Equal(s.is), "step %d", n)
+				g.Expect(begins).To(gomega.Equal(s.begins), "step %d", n)
+			}
+		})
+	}
+}
+
+// The isolation must reach the readiness that the fabric asks for.
+func TestIsolatedEntryIsNotReady(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e, sink, agent := startedEntry(t)
+	v := view(t, true, true, agent)
+	v.Current = true
+	e.update(v)
+	g.Expect(e.Ready()).To(gomega.BeTrue())
+	e.alone.controlMs -= silentControlMs
+	for _, p := range []string{"\x01S", "\x02S", "\x03S", "\x04S", "\x05S"} {
+		e.take(p)
+	}
+	e.alone.questionMs -= silentAgentsMs
+	g.Expect(e.Ready()).To(gomega.BeFalse())
+	e.internal(passthrough.AppendMisses(nil, benchFlow), addrPort(sink))
+	g.Expect(e.Ready()).To(gomega.BeTrue())
+}
