--- a/internal/forwarder/isolation.go
+++ b/internal/forwarder/isolation.go
@@ -4,11 +4,11 @@
 
 // When an entry takes itself for cut off.
 const (
-	// silentControlMs is how long no control VM has answered: two reports, 400 ms apart, and the retries after them.
-	silentControlMs = 1000
+	// silentControlMs is how long no control VM has answered: reports are 400 ms apart.
+	silentControlMs = 700
 	// silentAgentsMs is how long agents have left questions without a word. They answer within a round trip, at most some
 	// tens of milliseconds.
-	silentAgentsMs = 600
+	silentAgentsMs = 400
 	// leastQuestions is how many questions must have had no answer: one agent that is down does not answer either.
 	leastQuestions = 5
 	// isolationMs is how long an entry calls itself cut off without a sign of life. Then callers' packets are tried again,
