Tell callers of unreachable agents

Logs: entries go on sending packets of known flows to the lost agents, and callers use up the time of one request for each flow; the first reset came 4 s after the loss, when agents leave the searches. Ruled out: placement (new flows avoid the lost agents after one unanswered opening packet). Change: entries probe an agent whose packets are repeated, and reset the flow of a repeated request if the agent has answered no probe for 500 ms and has not reported for 1.2 s. The check now leaves out hosts whose machine has an unplanned impairment or had one in the last 4 s; planned stops and faults of hosts are checked as before. TestExplainFailuresOfRealProcesses: a stopped agent now ends in resets, so it became a case of its own, and an upstream that hangs is the one that runs into the time limit; each case waits until the upstream serves before it fails.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -166,6 +166,8 @@
 
 	"upstream_failing": "the agent that was chosen has an upstream that fails requests, and another agent was asked",
 
+	"agent_unreachable": "the agent that held the flow neither reported nor answered: its VM was down, frozen or cut off; the caller was told",
+
 	"no_route":         "no declaration in force leads the address anywhere; the caller got a reset, and nothing was run",
 	"no_declaration":   "the process had just started and held no declaration; the packet was dropped",
 	"no_upstream":      "no upstream took the flow; the caller got a reset, and nothing was run",
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -21,8 +21,9 @@
 	machine  *passthrough.Agent
 	tracker  upstream.Tracker
 	reporter *openflows.Reporter
-	conn     *net.UDPConn // packets of other nodes
-	outbound *net.UDPConn // packets of the upstream
+	entries  []netip.AddrPort // of the last roster; guarded by mu
+	conn     *net.UDPConn     // packets of other nodes
+	outbound *net.UDPConn     // packets of the upstream
 	counts   *counters
 }
 
@@ -94,6 +95,7 @@
 		peers := roster.Peers(v.Records)
 		a.noteRoster(peers, v)
 		a.machine.SetRoster(newRoster(peers, v))
+		a.entries = roster.Entries(v.Records)
 	}
 }
 
@@ -144,14 +146,33 @@
 	return a.table != nil && !a.leaving
 }
 
-// Leave tells the control VM that this process stops. It returns when that is told or ctx is done.
+// Copies of the word to entries that this process stops. Links lose some; the last one leaves before the process ends.
+const (
+	stopCopies = 3
+	stopPause  = 100 * time.Millisecond
+)
+
+// Leave tells the control VM and the entries that this process stops. It returns when that is told or ctx is done.
 func (a *Agent) Leave(ctx context.Context) {
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
+	for n := range stopCopies {
+		time.AfterFunc(time.Duration(n)*stopPause, a.tellEntries)
+	}
 	a.client.Report(ctx)
 }
 
+// tellEntries tells all entries that this process stops.
+func (a *Agent) tellEntries() {
+	a.mu.Lock()
+	entries := a.entries
+	a.mu.Unlock()
+	for _, at := range entries {
+		a.send(passthrough.AppendStops(nil), at)
+	}
+}
+
 // Run forwards packets until ctx is done.
 func (a *Agent) Run(ctx context.Context) error {
 	go a.client.Run(ctx)
@@ -188,6 +209,10 @@
 		a.client.Invite(datagram.Invite.AddrPort())
 		return out
 	}
+	if err == nil && datagram.Probe != nil {
+		a.send(passthrough.AppendAlive(out), datagram.Probe.AddrPort())
+		return out
+	}
 	if err != nil || datagram.Forward == nil {
 		a.counts.add("malformed")
 		return out
--- a/internal/forwarder/agent_test.go
+++ b/internal/forwarder/agent_test.go
@@ -1,12 +1,16 @@
 package forwarder
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/onsi/gomega"
 
+	"github.com/plantainseam/plantainseam/internal/passthrough"
 	"github.com/plantainseam/plantainseam/internal/roster"
 	"github.com/plantainseam/plantainseam/internal/upstream"
 )
@@ -38,3 +42,62 @@
 		})
 	}
 }
+
+// Entries must hear from the agent itself that it is alive, and that its process stops: control VMs may be out of reach, and
+// callers of a planned restart must not be told that their flows are gone.
+func TestAgentAnswersEntries(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entry, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = entry.Close() })
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	a, err := NewAgent(Config{Name: "agent", Domain: "d", Tunnel: any, Outbound: any, Logger: log.NewNopLogger(), FlowLog: log.NewNopLogger()})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _, _ = a.conn.Close(), a.outbound.Close() })
+	next := func() passthrough.Datagram {
+		buf := make([]byte, maxDatagram)
+		g.Expect(entry.SetReadDeadline(time.Now().Add(time.Minute))).To(gomega.Succeed())
+		n, _, err := entry.ReadFromUDP(buf)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		d, err := passthrough.Decode(buf[:n])
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return d
+	}
+	a.fromPeer(passthrough.AppendProbe(nil, passthrough.EndpointOf(addrPort(entry))), nil)
+	g.Expect(next().Alive).To(gomega.BeTrue())
+
+	at := addrPort(entry)
+	a.update(roster.View{Settled: true, Records: []roster.Record{
+		{Kind: roster.KindEntry, Address: at.Addr(), TunnelPort: at.Port()}, {Kind: roster.KindControl, Address: at.Addr()},
+	}})
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	a.Leave(stopped)
+	for range stopCopies {
+		g.Expect(next().Stops).To(gomega.BeTrue())
+	}
+}
+
+// An entry sends a probe with the packet that its machine wants one for, and takes the answer.
+func TestEntryProbesAgents(t *testing.T) {
+	g := gomega.NewWithT(t)
+	e, sink, agent := startedEntry(t)
+	v := view(t, true, true, agent)
+	e.update(v)
+	e.take("\x01S")
+	s, _ := testCodec{}.Caller([]byte("\x01A"))
+	e.internal(passthrough.AppendHolds(nil, passthrough.Holds{Flow: s.Flow}), addrPort(sink))
+	e.take("\x01A", "\x01A")
+	kinds := map[bool]int{}
+	buf := make([]byte, maxDatagram)
+	for range 4 {
+		g.Expect(sink.SetReadDeadline(time.Now().Add(time.Minute))).To(gomega.Succeed())
+		n, _, err := sink.ReadFromUDP(buf)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		d, err := passthrough.Decode(buf[:n])
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		kinds[d.Probe != nil]++
+	}
+	g.Expect(kinds).To(gomega.Equal(map[bool]int{false: 3, true: 1}))
+	e.internal(passthrough.AppendAlive(nil), addrPort(sink))
+}
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -198,6 +198,9 @@
 			e.logUnanswered(s, d)
 		}
 		e.send(out, d.Peer.AddrPort())
+		if d.Probe {
+			e.send(passthrough.AppendProbe(out[:0], e.machine.Self), d.Peer.AddrPort())
+		}
 	case passthrough.ToSeveral:
 		e.logRefusal(s, d)
 		out = passthrough.AppendForward(out, d.Forward, b)
@@ -231,12 +234,17 @@
 		e.counts.add("malformed")
 		return
 	}
-	if d.Holds != nil || d.Misses != nil {
+	if d.Invite == nil {
 		e.mu.Lock()
 		e.alone.heardAgent()
+		e.machine.Alive(passthrough.EndpointOf(from))
 		e.mu.Unlock()
 	}
 	switch {
+	case d.Stops:
+		e.mu.Lock()
+		e.machine.Stops(e.now(), passthrough.EndpointOf(from))
+		e.mu.Unlock()
 	case d.Holds != nil:
 		e.holds(passthrough.EndpointOf(from), *d.Holds)
 	case d.Misses != nil:
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -33,6 +33,8 @@
 	ReasonService   Reason = "wrong_service"
 	ReasonOrphaned  Reason = "upstream_started_anew"
 	ReasonFailing   Reason = "upstream_failing"
+
+	ReasonUnreachable Reason = "agent_unreachable"
 )
 
 // Decision is the outcome for one packet.
@@ -41,6 +43,7 @@
 	Reason  Reason
 	Peer    Endpoint
 	Peers   []Endpoint
+	Probe   bool // besides, Peer is asked whether it is alive
 	Also    bool // besides ToHost, the packet goes to Peer: it is not known whether there is a host
 	Forward Forward
 	Hint    *Holds   // to be sent to HintTo
@@ -132,6 +135,7 @@
 	search  map[Flow]search
 	suspect map[Endpoint]int64 // until when, ms
 	placed  map[Endpoint]float64
+	probes  map[Endpoint]probing // of agents that leave packets unanswered, or stop
 
 	rosterMs int64   // when the roster arrived
 	asks     float64 // packets that may be sent to ask several agents
@@ -144,6 +148,7 @@
 		Self: self, roster: NewRoster(nil, false), choice: chooser{domain: domain},
 		flows: map[Flow]entryFlow{}, tried: map[Flow][]Endpoint{}, search: map[Flow]search{},
 		suspect: map[Endpoint]int64{}, placed: map[Endpoint]float64{}, asks: askRate,
+		probes: map[Endpoint]probing{},
 	}
 }
 
@@ -172,15 +177,15 @@
 		return e.open(now, s, route)
 	}
 	f, known := e.flows[s.Flow]
-	if known && e.roster.Find(f.peer) != nil {
+	if p := e.roster.Find(f.peer); known && p != nil {
 		f.seenMs = now
 		f.noteRepeat(s)
 		e.flows[s.Flow] = f
 		d := e.forward(f.peer, ReasonKnown, "", nil)
 		if d.Unanswered = s.Data > 0 && f.repeats >= unansweredRepeats && f.repeats <= mostRepeats; d.Unanswered {
-			d.AgeMs = e.roster.Find(f.peer).AgeMs + now - e.rosterMs
+			d.AgeMs = p.AgeMs + now - e.rosterMs
 		}
-		return d
+		return e.late(now, p, f, d)
 	}
 	if known && e.roster.Settled {
 		delete(e.flows, s.Flow)
@@ -371,6 +376,7 @@
 			delete(e.search, k)
 		}
 	}
+	e.forgetProbes(now)
 	for k, until := range e.suspect {
 		if until <= now {
 			delete(e.suspect, k)
--- a/internal/passthrough/header.go
+++ b/internal/passthrough/header.go
@@ -13,6 +13,9 @@
 	kindHolds   = 2 // the sender's upstream answered a packet of the flow
 	kindMisses  = 3 // the sender's upstream returned a packet of the flow
 	kindInvite  = 4 // a control VM has started
+	kindProbe   = 5 // an entry asks whether an agent is alive
+	kindAlive   = 6 // the answer
+	kindStops   = 7 // the process of an agent stops
 )
 
 // MaxVisited bounds the agents that one packet visits, and so the header (6 KB). In a larger deployment a search from agent
@@ -59,6 +62,8 @@
 	holdsSize    = 2 + flowSize + 2
 	missesSize   = 2 + flowSize
 	inviteSize   = 2 + endpointSize
+	probeSize    = 2 + endpointSize
+	wordSize     = 2 // of the kinds without content
 )
 
 // ErrMalformed is returned for datagrams that no node sends.
@@ -130,12 +135,29 @@
 	return append(buf, b[:]...)
 }
 
-// Datagram is a decoded datagram between nodes. Exactly one of the pointers is set.
+// AppendProbe appends the datagram to buf. entry is the tunnel address that the answer goes to.
+func AppendProbe(buf []byte, entry Endpoint) []byte {
+	var b [probeSize]byte
+	b[0], b[1] = magic, kindProbe
+	putEndpoint(b[2:], entry)
+	return append(buf, b[:]...)
+}
+
+// AppendAlive appends the answer to a probe to buf.
+func AppendAlive(buf []byte) []byte { return append(buf, magic, kindAlive) }
+
+// AppendStops appends the word that the sender's process stops to buf.
+func AppendStops(buf []byte) []byte { return append(buf, magic, kindStops) }
+
+// Datagram is a decoded datagram between nodes. Exactly one of the pointers, Alive and Stops is set.
 type Datagram struct {
 	Forward *Forward
 	Holds   *Holds
 	Misses  *Flow     // the sender's upstream does not hold the flow
 	Invite  *Endpoint // RPC address of a control VM that has started
+	Probe   *Endpoint // tunnel address of the entry that asks
+	Alive   bool      // answer to a probe
+	Stops   bool      // the process of the sending agent stops
 	Packet  []byte    // of a Forward; refers to the input
 }
 
@@ -172,6 +194,19 @@
 		e := getEndpoint(b[2:])
 		return Datagram{Invite: &e}, nil
 	}
+	return decodeProbes(b)
+}
+
+func decodeProbes(b []byte) (Datagram, error) {
+	switch {
+	case b[1] == kindProbe && len(b) == probeSize:
+		e := getEndpoint(b[2:])
+		return Datagram{Probe: &e}, nil
+	case b[1] == kindAlive && len(b) == wordSize:
+		return Datagram{Alive: true}, nil
+	case b[1] == kindStops && len(b) == wordSize:
+		return Datagram{Stops: true}, nil
+	}
 	return Datagram{}, ErrMalformed
 }
 
--- a/internal/passthrough/header_test.go
+++ b/internal/passthrough/header_test.go
@@ -25,6 +25,17 @@
 	d, err = Decode(AppendInvite(nil, tunnel(9)))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(*d.Invite).To(gomega.Equal(tunnel(9)))
+	d, err = Decode(AppendProbe(nil, tunnel(10)))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(*d.Probe).To(gomega.Equal(tunnel(10)))
+	d, err = Decode(AppendAlive(nil))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(d).To(gomega.Equal(Datagram{Alive: true}))
+	d, err = Decode(AppendStops(nil))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(d).To(gomega.Equal(Datagram{Stops: true}))
+	_, err = Decode(append(AppendStops(nil), 0))
+	g.Expect(err).To(gomega.MatchError(ErrMalformed))
 	_, err = Decode(AppendInvite(nil, tunnel(9))[:inviteSize-1])
 	g.Expect(err).To(gomega.MatchError(ErrMalformed))
 }
@@ -33,6 +44,8 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(AppendForward(nil, Forward{Entry: tunnel(1), Visited: []Endpoint{tunnel(2)}}, []byte("x")))
 	f.Add(AppendHolds(nil, Holds{Flow: caller(1)}))
+	f.Add(AppendProbe(nil, tunnel(1)))
+	f.Add(AppendAlive(nil))
 	f.Add([]byte{magic, kindForward, 0, 0})
 	f.Add([]byte{})
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/passthrough/roster.go
+++ b/internal/passthrough/roster.go
@@ -14,6 +14,7 @@
 	Service string
 	Active  bool // its upstream takes new flows
 	Failing bool // requests to its upstream fail
+	Leaving bool // its process has said that it stops
 	Slots   uint32
 	Flows   uint32
 	Busy    uint32
--- a/internal/roster/record.go
+++ b/internal/roster/record.go
@@ -106,9 +106,20 @@
 		out = append(out, passthrough.Peer{
 			Tunnel: passthrough.Endpoint{IP: r.Address.As4(), Port: r.TunnelPort},
 			Domain: r.FailureDomain, Service: r.Service, Active: (r.State == StateActive || r.State == StateFailing) && !r.Leaving,
-			Failing: r.State == StateFailing,
-			Slots:   r.Slots, Flows: r.Flows, Busy: r.Busy, Cold: r.Warmup > 0, AgeMs: r.Age.Milliseconds(),
+			Failing: r.State == StateFailing, Leaving: r.Leaving,
+			Slots: r.Slots, Flows: r.Flows, Busy: r.Busy, Cold: r.Warmup > 0, AgeMs: r.Age.Milliseconds(),
 		})
 	}
 	return out
 }
+
+// Entries returns the tunnel addresses of the entries among the records.
+func Entries(records []Record) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, r := range records {
+		if r.Kind == KindEntry {
+			out = append(out, netip.AddrPortFrom(r.Address, r.TunnelPort))
+		}
+	}
+	return out
+}
--- a/soak/explain_test.go
+++ b/soak/explain_test.go
@@ -33,7 +33,7 @@
 }
 
 // An engineer who has only the logs of the real processes must get from the id of a failed request to its cause, for the
-// three kinds of failure that docs/OPERATIONS.md walks through.
+// kinds of failure that docs/OPERATIONS.md walks through.
 func TestExplainFailuresOfRealProcesses(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s, folder := startSite(t, 91)
@@ -51,7 +51,9 @@
 		name, kind, cause string
 		fail, repair      func()
 	}{
-		{"request ran into its time limit", "timed out", "down, frozen or cut off",
+		{"request ran into its time limit", "timed out", "overloaded, stuck or gone",
+			func() { s.site.Host(images.machine).Hang(true) }, func() { s.site.Host(images.machine).Hang(false) }},
+		{"agent was lost", "reset", "down, frozen or cut off",
 			func() { images.signal(syscall.SIGSTOP) }, func() { images.signal(syscall.SIGCONT) }},
 		{"request was refused", "refused", "no upstream took the flow",
 			func() { s.site.Host(images.machine).Drain() }, func() { replace(g, s.site, images.machine) }},
@@ -61,6 +63,8 @@
 	} {
 		var ids []string
 		g.Eventually(func() []string {
+			c.repair()
+			serves(g, s.site.Host(images.machine))
 			c.fail()
 			failed := time.Now() // what was sent before may have failed for another reason
 			time.Sleep(lookInterval)
@@ -79,6 +83,12 @@
 	}
 }
 
+// serves waits until callers hold flows to the host and are answered there.
+func serves(g *gomega.WithT, h *standin.Host) {
+	before := h.Answered()
+	g.Eventually(h.Answered, patience).Should(gomega.BeNumerically(">", before+10))
+}
+
 // lookInterval is how long a cause of failures lasts before failures are looked for: longer than callers wait for an answer
 // (3 s).
 const lookInterval = 4 * time.Second
--- a/soak/run.go
+++ b/soak/run.go
@@ -165,9 +165,10 @@
 
 // fault is a kind of fault on one machine.
 type fault struct {
-	name  string
-	class string
-	run   func(p *process) error
+	name    string
+	class   string
+	run     func(p *process) error
+	planned bool // or one that leaves the machine in touch: no flow may be lost
 }
 
 // faults are injected in series and overlapping.
@@ -198,16 +199,16 @@
 	kill := func(p *process) error { return p.restart(syscall.SIGKILL, away) }
 	stop := func(p *process) error { return p.restart(syscall.SIGTERM, 0) }
 	return []fault{
-		{"kill", "edge", kill}, {"kill", "side", kill}, {"kill", "core", kill},
-		{"stop", "edge", stop}, {"stop", "side", stop}, {"stop", "core", stop},
-		{"freeze", "edge", freeze}, {"freeze", "side", freeze}, {"freeze", "core", freeze},
-		{"wipe", "core", s.wipe}, {"crash host", "side", s.crashHost}, {"drain host", "side", s.drainHost},
-		{"hang up", "edge", hangUp}, {"hang up", "core", hangUp},
-		{"slow wire", "core", rewire(wireSlow)}, {"silent wire", "core", rewire(wireSilent)},
-		{"half wire", "core", rewire(wireHalf)}, {"refusing wire", "core", rewire(wireRefusing)},
-		{"lossy datagrams", "edge", disturb(lossy)}, {"late datagrams", "edge", disturb(late)}, {"deaf", "edge", disturb(deaf)},
-		{"lossy datagrams", "side", disturb(lossy)}, {"late datagrams", "side", disturb(late)}, {"mute", "side", disturb(mute)},
-		{"failing host", "side", s.failHost},
+		{"kill", "edge", kill, false}, {"kill", "side", kill, false}, {"kill", "core", kill, false},
+		{"stop", "edge", stop, true}, {"stop", "side", stop, true}, {"stop", "core", stop, true},
+		{"freeze", "edge", freeze, false}, {"freeze", "side", freeze, false}, {"freeze", "core", freeze, false},
+		{"wipe", "core", s.wipe, false}, {"crash host", "side", s.crashHost, true}, {"drain host", "side", s.drainHost, true},
+		{"hang up", "edge", hangUp, true}, {"hang up", "core", hangUp, true},
+		{"slow wire", "core", rewire(wireSlow), false}, {"silent wire", "core", rewire(wireSilent), false},
+		{"half wire", "core", rewire(wireHalf), false}, {"refusing wire", "core", rewire(wireRefusing), false},
+		{"lossy datagrams", "edge", disturb(lossy), false}, {"late datagrams", "edge", disturb(late), false}, {"deaf", "edge", disturb(deaf), false},
+		{"lossy datagrams", "side", disturb(lossy), false}, {"late datagrams", "side", disturb(late), false}, {"mute", "side", disturb(mute), false},
+		{"failing host", "side", s.failHost, true},
 	}
 }
 
@@ -284,8 +285,13 @@
 	s.busy.Store(p.machine.Name, true)
 	s.faults.Add(1)
 	s.site.Watch.Note("%s %s", f.name, p.machine.Name)
+	ends := func() {}
+	if !f.planned {
+		ends = s.site.Impair(p.machine)
+	}
 	go func() {
 		defer s.faults.Done()
+		defer ends()
 		if err := f.run(p); err != nil {
 			s.site.Watch.Violate("soak", "%s %s: %v", f.name, p.machine.Name, err)
 		}
