--- a/internal/passthrough/outcomes.go
+++ b/internal/passthrough/outcomes.go
@@ -12,10 +12,9 @@
 	// failingShare is the share of failed requests from which on an upstream is called failing. A tenth is more than any
 	// fault outside of it takes from one upstream for long.
 	failingShare = 0.1
-	// slowestAnswerMs is the age of an unanswered request from which on it counts as failed when its caller repeats it or
-	// leaves. Callers repeat after 200 and 600 ms; upstreams that are not overloaded answer in a fifth of that. Callers that
-	// leave earlier had their time used up elsewhere.
-	slowestAnswerMs = 500
+	// crowdedPerSlot is how many unanswered requests a slot may have before resets of the upstream are taken for shed load
+	// and not for failures: it works on one and queues a few more.
+	crowdedPerSlot = 3
 	// firstHoldMs and longestHoldMs bound how long a failing upstream gets no new flow before it is tried again. The time
 	// doubles with each failed trial.
 	firstHoldMs   = 2000
