--- a/soak/experiment.go
+++ b/soak/experiment.go
@@ -22,7 +22,7 @@
 // experiment is a load that is played several times with one parameter varied. Times are in milliseconds.
 type experiment struct {
 	Name      string    `yaml:"name"`
-	Parameter string    `yaml:"parameter"` // callers, edges, sides, loss, work_ms or cold_ms
+	Parameter string    `yaml:"parameter"` // callers, edges, sides, loss, work_ms, cold_ms or failing
 	Values    []float64 `yaml:"values"`
 	Seconds   int       `yaml:"seconds"` // of load, for each value
 	Edges     int       `yaml:"edges"`
@@ -36,6 +36,8 @@
 		ColdMs float64 `yaml:"cold_ms"`
 		ColdX  float64 `yaml:"cold_x"`
 	} `yaml:"upstream"`
+	Failing   int     `yaml:"failing"`    // upstreams that reset a part of their requests
+	FailShare float64 `yaml:"fail_share"` // this part
 }
 
 // parameters are the ways to vary an experiment.
@@ -46,6 +48,7 @@
 	"loss":    func(e *experiment, v float64) { e.Loss = v },
 	"work_ms": func(e *experiment, v float64) { e.Model.WorkMs = v },
 	"cold_ms": func(e *experiment, v float64) { e.Model.ColdMs = v },
+	"failing": func(e *experiment, v float64) { e.Failing = int(v) },
 }
 
 // mostProcesses bounds the processes of an experiment.
@@ -75,9 +78,10 @@
 	for _, v := range e.Values {
 		one := e
 		vary(&one, v)
-		if one.Edges < 1 || one.Sides < 3 || one.Cores < 1 || one.Callers < 1 || one.Edges+one.Sides+one.Cores > mostProcesses {
-			return nil, fmt.Errorf("experiment %s: %s = %v: needs 1 edge, 3 sides, 1 core and 1 caller, at most %d processes",
-				path, e.Parameter, v, mostProcesses)
+		if one.Edges < 1 || one.Sides < 3 || one.Cores < 1 || one.Callers < 1 || one.Edges+one.Sides+one.Cores > mostProcesses ||
+			one.Failing < 0 || one.Failing > one.Sides {
+			return nil, fmt.Errorf("experiment %s: %s = %v: needs 1 edge, 3 sides, 1 core and 1 caller, at most %d processes, "+
+				"and no more failing upstreams than sides", path, e.Parameter, v, mostProcesses)
 		}
 	}
 	return &e, nil
@@ -89,7 +93,7 @@
 	perS     float64 // answers a second
 	p50, p99 time.Duration
 	ratio    float64 // busiest upstream over the mean, first service
-	failed   int     // flows refused, reset or timed out
+	failed   int     // flows refused, reset by the system or their host, or timed out
 }
 
 // runExperiment plays all values and writes a table and a picture into the folder.
@@ -139,6 +143,9 @@
 	if err := s.surround(); err != nil {
 		return outcome{}, err
 	}
+	for _, m := range s.site.Sides()[:e.Failing] {
+		s.site.Host(m).Fail(e.FailShare)
+	}
 	started := time.Now()
 	time.Sleep(time.Duration(e.Seconds) * time.Second)
 	took := time.Since(started).Seconds()
@@ -150,7 +157,7 @@
 	counts := s.site.Watch.Counts()
 	return outcome{
 		perS: float64(len(latencies)) / took, p50: percentile(latencies, 50), p99: percentile(latencies, 99),
-		ratio: busiest(s.site.Hosts()), failed: counts["refused"] + counts["reset"] + counts["timed out"],
+		ratio: busiest(s.site.Hosts()), failed: counts["refused"] + counts["reset"] + counts["timed out"] + counts["reset by host"],
 	}, nil
 }
 
--- a/soak/experiment_test.go
+++ b/soak/experiment_test.go
@@ -21,6 +21,7 @@
 		{"no values", "name: n\nparameter: callers\nseconds: 1\n", "values"},
 		{"no agents", "name: n\nparameter: sides\nvalues: [3, 0]\nseconds: 1\nedges: 1\ncores: 1\ncallers: 1\n", "sides = 0"},
 		{"too many processes", "name: n\nparameter: sides\nvalues: [300]\nseconds: 1\nedges: 1\ncores: 1\ncallers: 1\n", "at most"},
+		{"more failing upstreams than there are", "name: n\nparameter: failing\nvalues: [4]\nseconds: 1\nedges: 1\nsides: 3\ncores: 1\ncallers: 1\n", "failing = 4"},
 		{"name with a folder", "name: ../n\nparameter: callers\nvalues: [1]\nseconds: 1\n", "name"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
