--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -163,20 +163,17 @@
 // causes tells what a reason in a flow's last line means.
 var causes = map[string]string{
 	"upstream_started_anew": "the upstream that held the flow has ended or was replaced, and its agent has reset the flow",
-
-	"upstream_failing": "the agent that was chosen has an upstream that fails requests, and another agent was asked",
-
-	"agent_unreachable": "the agent that held the flow neither reported nor answered: its VM was down, frozen or cut off; the caller was told",
-
-	"no_route":         "no declaration in force leads the address anywhere; the caller got a reset, and nothing was run",
-	"no_declaration":   "the process had just started and held no declaration; the packet was dropped",
-	"no_upstream":      "no upstream took the flow; the caller got a reset, and nothing was run",
-	"held_nowhere":     "every upstream returned the packet: the one that held the flow has ended or was replaced",
-	"roster_unsettled": "the control VMs had just started and did not know every agent; the packet was dropped",
-	"ask_many":         "the agent that held the flow did not answer: its process or VM was down, frozen or cut off",
-	"search":           "an entry looked for the agent that holds the flow, after the fabric had moved it",
-	"passed_on":        "an upstream returned the packet and another agent was asked",
-	"placed_again":     "the first agent left the opening packet unanswered, and another one was chosen",
+	"upstream_failing":      "the agent that was chosen has an upstream that fails requests, and another agent was asked",
+	"agent_unreachable":     "the agent that held the flow neither reported nor answered: its VM was down, frozen or cut off; the caller was told",
+	"no_route":              "no declaration in force leads the address anywhere; the caller got a reset, and nothing was run",
+	"no_declaration":        "the process had just started and held no declaration; the packet was dropped",
+	"no_upstream":           "no upstream took the flow; the caller got a reset, and nothing was run",
+	"held_nowhere":          "every upstream returned the packet: the one that held the flow has ended or was replaced",
+	"roster_unsettled":      "the control VMs had just started and did not know every agent; the packet was dropped",
+	"ask_many":              "the agent that held the flow did not answer: its process or VM was down, frozen or cut off",
+	"search":                "an entry looked for the agent that holds the flow, after the fabric had moved it",
+	"passed_on":             "an upstream returned the packet and another agent was asked",
+	"placed_again":          "the first agent left the opening packet unanswered, and another one was chosen",
 }
 
 // Cause returns the likely cause of the flow's end in one sentence.
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -200,7 +200,7 @@
 
 // spare passes a packet that opens a flow to another agent while the upstream fails, unless too many others fail as well.
 func (a *Agent) spare(now int64, s Segment, h Forward) (Decision, bool) {
-	if a.outcomes.health == Healthy || a.roster.crowded(a.Self, a.upstream.Service) || !a.outcomes.refuses(now) {
+	if a.outcomes.health == Healthy || a.roster.manyFail(a.Self, a.upstream.Service) || !a.outcomes.refuses(now) {
 		return Decision{}, false
 	}
 	d := a.passOpening(s, h, ReasonFailing)
--- a/internal/passthrough/entry.go
+++ b/internal/passthrough/entry.go
@@ -18,22 +18,21 @@
 
 // Reasons.
 const (
-	ReasonPlaced    Reason = "placed"
-	ReasonRetried   Reason = "placed_again"
-	ReasonKnown     Reason = "known"
-	ReasonSearch    Reason = "search"
-	ReasonAskMany   Reason = "ask_many"
-	ReasonNoRoute   Reason = "no_route"
-	ReasonNoTable   Reason = "no_declaration"
-	ReasonNoPeer    Reason = "no_upstream"
-	ReasonNotMine   Reason = "passed_on"
-	ReasonExhausted Reason = "held_nowhere"
-	ReasonUnsettled Reason = "roster_unsettled"
-	ReasonAnswer    Reason = "answer"
-	ReasonService   Reason = "wrong_service"
-	ReasonOrphaned  Reason = "upstream_started_anew"
-	ReasonFailing   Reason = "upstream_failing"
-
+	ReasonPlaced      Reason = "placed"
+	ReasonRetried     Reason = "placed_again"
+	ReasonKnown       Reason = "known"
+	ReasonSearch      Reason = "search"
+	ReasonAskMany     Reason = "ask_many"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonNoTable     Reason = "no_declaration"
+	ReasonNoPeer      Reason = "no_upstream"
+	ReasonNotMine     Reason = "passed_on"
+	ReasonExhausted   Reason = "held_nowhere"
+	ReasonUnsettled   Reason = "roster_unsettled"
+	ReasonAnswer      Reason = "answer"
+	ReasonService     Reason = "wrong_service"
+	ReasonOrphaned    Reason = "upstream_started_anew"
+	ReasonFailing     Reason = "upstream_failing"
 	ReasonUnreachable Reason = "agent_unreachable"
 )
 
--- a/internal/passthrough/roster.go
+++ b/internal/passthrough/roster.go
@@ -76,8 +76,8 @@
 	return p.Failing && float64(h.failing) <= mostFailingShare*float64(h.active)
 }
 
-// crowded reports whether too many upstreams of a service fail for the one beside self to be passed over.
-func (r *Roster) crowded(self Endpoint, service string) bool {
+// manyFail reports whether too many upstreams of a service fail for the one beside self to be passed over.
+func (r *Roster) manyFail(self Endpoint, service string) bool {
 	h := serviceHealth{failing: 1}
 	for i := range r.Peers {
 		p := &r.Peers[i]
