Wait for the binding in TestJoinOfLongRun

The stack shows the wait for two waiting requests at host-0 failed after its minute, and the cleanup then blocked on an upstream that was never released. The test started the second request once the first one waited, which is before its key is bound; the second one could be bound first and become the owner, and host-0 then never has two. Ruled out: a lock in the gate (all its goroutines wait for input). Not reproduced; the cause is read from the stack and the code. Change: the test waits for the binding, as TestOwnerRestarts does, and releases the upstream when it ends. Its checks are unchanged.

--- a/internal/gate/upstream_test.go
+++ b/internal/gate/upstream_test.go
@@ -260,15 +260,18 @@
 	g := NewWithT(t)
 	release := make(chan struct{})
 	c := withCluster(t, 2, func(*http.Request, string) upstream.Behaviour { <-release; return upstream.Behaviour{} })
+	end := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(end) // a failed check must not leave the upstream waiting
 	replies := make(chan httpcall.Reply, 2)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { replies <- c.send(ctx, "host-0", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(1))
+	g.Eventually(func() uint64 { return c.log.Stats().Bound }).Should(Equal(uint64(1))) // or host-1 may become the owner
 	go func() { replies <- c.send(context.Background(), "host-1", "POST", "k", "match") }()
 	g.Eventually(func() int { return c.node("host-0").gate.Stats().Waiting }).Should(Equal(2))
 	cancel()
 	g.Expect((<-replies).Err).To(HaveOccurred())
-	time.AfterFunc(3*time.Second, func() { close(release) })
+	time.AfterFunc(3*time.Second, end)
 	g.Expect((<-replies).Body).To(Equal("ran match"))
 	g.Expect(c.runs("match")).To(Equal(1))
 }
