--- a/review/_driver/main.go
+++ b/review/_driver/main.go
@@ -19,6 +19,7 @@
 	}
 	cases := map[string]func(r *record, daemon string, trouble bool) (int, error){
 		"isolated-roster": isolatedRoster,
+		"odd-report":      oddReport,
 	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
