--- a/review/_driver/site.go
+++ b/review/_driver/platform/site.go
@@ -1,5 +1,5 @@
-// Command driver runs the scripted cases of the review. It starts the project's own programs as separate processes on
-// loopback addresses, with the stand-ins of platform/standin.
+// Command platform runs the scripted cases of the review. It starts the project's own programs as separate processes on
+// loopback addresses, with stand-ins that speak the platform's protocols and with those of platform/standin.
 package main
 
 import (
