Remove a lost voter before its replacement is promoted

Cause: a learner was promoted while a voter was missing, so each replacement raised the quorum; the voter that was gone was removed only after one and the same leader had missed it for SilenceTimeout (4 s), and each new leader began to count anew.

A silent voter is removed before its replacement is promoted, a quarter of SilenceTimeout after it fell silent; a learner beyond the needed number waits for that time; changes follow each other at once; a learner that never answered is not caught up; later declarations do not wait for joining VMs.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -60,6 +60,7 @@
 	a.group = group.New(group.Config{
 		Name: cfg.Name, Self: cfg.Self, DataDir: cfg.DataDir, Founder: cfg.Founder, Seeds: cfg.Seeds,
 		ToleratedLosses: cfg.ToleratedLosses, SilenceTimeout: cfg.SilenceTimeout, StateMachine: a.machine, Controls: a.controls, Logger: cfg.Logger,
+		Declared:          func() bool { version, _ := a.machine.Latest(); return version > 0 },
 		Seed:              cfg.Seed,
 		ObserveLeaderless: func(span time.Duration) { a.instruments.leaderless.Observe(span.Seconds()) },
 	})
--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -73,7 +73,7 @@
 	case AddLearner:
 		member = Member{ID: change.ID, Name: change.Name, Address: change.Address, Learner: true}
 	case Promote:
-		if !c.active(change.ID) || c.peer(change.ID).match+maxPromotionLag < c.log.last() {
+		if !c.active(change.ID) || !c.caughtUp(change.ID) {
 			return Membership{}, result.Errorf(result.MemberNotCaughtUp, "learner %s is unreachable or lags the leader's log", member.Name)
 		}
 		member.Learner = false
@@ -86,6 +86,13 @@
 	return next, nil
 }
 
+// caughtUp reports whether a member has confirmed entries of this leader and lags by at most maxPromotionLag. A member that was
+// added a moment ago counts as active, but has not shown yet that it can be reached.
+func (c *Core) caughtUp(id MemberID) bool {
+	match := c.peer(id).match
+	return match > 0 && match+maxPromotionLag >= c.log.last()
+}
+
 // stepDownIfRemoved makes a leader step down once its own removal is committed.
 func (c *Core) stepDownIfRemoved() {
 	config := c.log.config()
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -98,6 +98,8 @@
 	ID     MemberID
 	Match  uint64 // last entry known to be stored by the member
 	Active bool   // a response arrived within the election timeout
+	// CaughtUp is set if the member has confirmed entries and lags by no more than a new voter may.
+	CaughtUp bool
 }
 
 // New returns a follower that continues from the stored state.
@@ -405,7 +407,7 @@
 		if m.ID == c.cfg.ID {
 			continue
 		}
-		s.Progress = append(s.Progress, MemberProgress{ID: m.ID, Match: c.peer(m.ID).match, Active: c.active(m.ID)})
+		s.Progress = append(s.Progress, MemberProgress{ID: m.ID, Match: c.peer(m.ID).match, Active: c.active(m.ID), CaughtUp: c.caughtUp(m.ID)})
 	}
 	return s
 }
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -18,6 +18,7 @@
 	"github.com/plantainseam/plantainseam/internal/consensus/node"
 	"github.com/plantainseam/plantainseam/internal/consensus/store"
 	"github.com/plantainseam/plantainseam/internal/durable"
+	"github.com/plantainseam/plantainseam/internal/quorum"
 	"github.com/plantainseam/plantainseam/internal/result"
 	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
@@ -64,6 +65,7 @@
 	ToleratedLosses int // number of machines that may be lost at once, with their disks
 	SilenceTimeout  time.Duration
 	StateMachine    consensus.StateMachine
+	Declared        func() bool             // whether the state machine holds a declaration
 	Controls        func() []netip.AddrPort // RPC addresses of the control VMs in the roster
 	Logger          log.Logger
 	Seed            uint64                                // random seed for election timeouts
@@ -77,23 +79,21 @@
 	cfg     Config
 	clients clients
 
-	mu           sync.Mutex
-	phase        Phase
-	identity     store.Identity
-	founders     []consensus.Member
-	node         *node.Node
-	twirp        *node.Twirp
-	joinRequests map[consensus.MemberID]consensus.Member // pending requests to join, by identity
-	silentSince  map[consensus.MemberID]time.Time        // start of the current silence of each silent member; leader only
-	seeds        []netip.AddrPort
-	quietSince   time.Time // start of leadership or time of the last join request; zero unless leader
+	mu       sync.Mutex
+	phase    Phase
+	identity store.Identity
+	founders []consensus.Member
+	node     *node.Node
+	twirp    *node.Twirp
+	seeds    []netip.AddrPort
+	planner  quorum.Planner
 }
 
 // New returns a group member. Run starts it.
 func New(cfg Config) *Group {
 	return &Group{
 		cfg: cfg, clients: clients{}, seeds: cfg.Seeds,
-		joinRequests: map[consensus.MemberID]consensus.Member{}, silentSince: map[consensus.MemberID]time.Time{},
+		planner: quorum.Planner{ToleratedLosses: cfg.ToleratedLosses, SilenceTimeout: cfg.SilenceTimeout},
 	}
 }
 
@@ -352,35 +352,16 @@
 	return nil
 }
 
-// proposeAsLeader commits a command at this member. Until enough members vote to tolerate the configured loss of disks, it
+// proposeAsLeader commits a command at this member. While too few members vote to tolerate the configured loss of disks, it
 // returns DeclarationUnsettled.
 func (g *Group) proposeAsLeader(ctx context.Context, n *node.Node, command []byte) error {
-	membership := n.Status().Membership
+	membership, first := n.Status().Membership, !g.cfg.Declared()
 	g.mu.Lock()
-	ready := g.enoughVoters(membership, time.Now())
+	ready, wanted := g.planner.EnoughVoters(time.Now(), membership, first), g.planner.WantedVoters()
 	g.mu.Unlock()
 	if !ready {
-		return result.Errorf(result.DeclarationUnsettled, "%d voting members, %d wanted", membership.Voters(), g.wantedVoters())
+		return result.Errorf(result.DeclarationUnsettled, "%d voting members, %d wanted", membership.Voters(), wanted)
 	}
 	_, err := n.Propose(ctx, command)
 	return err
 }
-
-// enoughVoters reports whether enough members vote to commit declarations. The wanted number suffices if no VM is joining or
-// joinWait has passed since the last join request. A smaller number suffices only if both hold: then there are no more control
-// VMs. The caller holds mu.
-func (g *Group) enoughVoters(m consensus.Membership, now time.Time) bool {
-	joining := len(g.joinRequests) > 0 || m.Voters() < len(m.Members)
-	quiet := now.Sub(g.quietSince)
-	if m.Voters() >= g.wantedVoters() {
-		return !joining || quiet >= joinWait
-	}
-	return !joining && !g.quietSince.IsZero() && quiet >= joinWait
-}
-
-// joinWait is how long the leader waits for control VMs that may still ask to join. A VM asks every half second, and all
-// machines of a site start within 0.3 s of each other.
-const joinWait = 3 * time.Second
-
-// wantedVoters returns the number of voters that keeps a majority after the loss of ToleratedLosses voters.
-func (g *Group) wantedVoters() int { return 2*g.cfg.ToleratedLosses + 1 }
--- a/internal/group/group_test.go
+++ b/internal/group/group_test.go
@@ -1,12 +1,14 @@
 package group
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -24,118 +26,6 @@
 // waitTimeout bounds waits in tests. A passing test does not reach it.
 const waitTimeout = time.Minute
 
-// voters returns a membership in which all given members vote.
-func voters(ids ...string) consensus.Membership {
-	var m consensus.Membership
-	for _, id := range ids {
-		m.Members = append(m.Members, consensus.Member{ID: consensus.MemberID(id), Address: "address-" + id})
-	}
-	return m
-}
-
-// Each case is a membership and the change that the leader must make. A wrong change loses the quorum or lets a member with
-// an empty disk vote under its old identity.
-func TestNextChange(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
-	learner := func(m consensus.Membership, id string) consensus.Membership {
-		m.Members = append(m.Members, consensus.Member{ID: consensus.MemberID(id), Address: "address-" + id, Learner: true})
-		return m
-	}
-	cases := []struct {
-		name    string
-		members consensus.Membership
-		asked   string // identity that asks to join
-		address string
-		silent  []string
-		since   time.Duration
-		kind    consensus.ChangeKind
-		id      string
-	}{
-		{name: "nothing to do", members: voters("a", "b", "c", "d", "e")},
-		{name: "a machine asks to join", members: voters("a", "b", "c"), asked: "n", kind: consensus.AddLearner, id: "n"},
-		{name: "a member asks again", members: voters("a", "b", "c", "d", "e"), asked: "b"},
-		{name: "a machine lost its disk", members: voters("a", "b", "c", "d", "e"), asked: "n", address: "address-b",
-			kind: consensus.Remove, id: "b"},
-		{name: "a learner caught up", members: learner(voters("a", "b", "c"), "n"), kind: consensus.Promote, id: "n"},
-		{name: "too few voters: promotion comes before another removal", members: learner(voters("a", "b", "c", "d"), "n"),
-			asked: "m", address: "address-d", kind: consensus.Promote, id: "n"},
-		{name: "a silent voter without a replacement stays", members: voters("a", "b", "c", "d", "e"), silent: []string{"b"}, since: time.Hour},
-		{name: "a silent voter with a replacement goes", members: learner(voters("a", "b", "c", "d", "e"), "n"),
-			silent: []string{"b"}, since: 5 * time.Second, kind: consensus.Remove, id: "b"},
-		{name: "a voter that is silent for a moment stays, the learner is promoted", members: learner(voters("a", "b", "c", "d", "e"), "n"),
-			silent: []string{"b"}, since: time.Second, kind: consensus.Promote, id: "n"},
-		{name: "a silent voter beyond the needed number goes", members: voters("a", "b", "c", "d", "e", "f"),
-			silent: []string{"f"}, since: 5 * time.Second, kind: consensus.Remove, id: "f"},
-		{name: "a silent learner goes", members: learner(voters("a", "b", "c", "d", "e"), "n"),
-			silent: []string{"n"}, since: 5 * time.Second, kind: consensus.Remove, id: "n"},
-		{name: "a silent learner is not promoted", members: learner(voters("a", "b", "c"), "n"), silent: []string{"n"}, since: time.Second},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			g := NewWithT(t)
-			group := New(Config{ToleratedLosses: 2, SilenceTimeout: 4 * time.Second, Logger: log.NewNopLogger()})
-			status := consensus.Status{ID: "a", Membership: c.members}
-			for _, m := range c.members.Members {
-				p := consensus.MemberProgress{ID: m.ID, Active: true}
-				for _, s := range c.silent {
-					if string(m.ID) == s {
-						p.Active = false
-						group.silentSince[m.ID] = now.Add(-c.since)
-					}
-				}
-				status.Progress = append(status.Progress, p)
-			}
-			if c.asked != "" {
-				address := c.address
-				if address == "" {
-					address = "address-" + c.asked
-				}
-				id := consensus.MemberID(c.asked)
-				group.joinRequests[id] = consensus.Member{ID: id, Address: address}
-			}
-			change, _ := group.nextChange(status, now)
-			if c.id == "" {
-				g.Expect(change).To(BeNil())
-				return
-			}
-			g.Expect(change).NotTo(BeNil())
-			g.Expect(change.Kind).To(Equal(c.kind))
-			g.Expect(string(change.ID)).To(Equal(c.id))
-		})
-	}
-}
-
-// The first declaration must wait for control VMs that are joining, but not forever if there are fewer control VMs than the
-// tolerated losses require.
-func TestEnoughVoters(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
-	joining := voters("a", "b", "c", "d", "e")
-	joining.Members = append(joining.Members, consensus.Member{ID: "n", Learner: true})
-	for _, c := range []struct {
-		name    string
-		members consensus.Membership
-		asked   bool
-		since   time.Duration // since the last join request or the start of leadership
-		enough  bool
-	}{
-		{"all vote", voters("a", "b", "c", "d", "e"), false, 0, true},
-		{"two are missing", voters("a", "b", "c"), false, time.Second, false},
-		{"there are only three", voters("a", "b", "c"), false, 4 * time.Second, true},
-		{"another one is joining", joining, false, time.Second, false},
-		{"another one does not catch up", joining, false, 4 * time.Second, true},
-		{"another one has asked", voters("a", "b", "c", "d", "e"), true, 0, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			group := New(Config{ToleratedLosses: 2, Logger: log.NewNopLogger()})
-			group.quietSince = now.Add(-c.since)
-			if c.asked {
-				group.joinRequests["x"] = consensus.Member{ID: "x"}
-			}
-			NewWithT(t).Expect(group.enoughVoters(c.members, now)).To(Equal(c.enough))
-		})
-	}
-}
-
 // vm is a control VM on a loopback address.
 type vm struct {
 	address netip.AddrPort
@@ -145,6 +35,7 @@
 	stop    func()
 
 	tolerated int
+	silence   time.Duration
 	full      atomic.Bool // the disk refuses every write
 }
 
@@ -184,7 +75,7 @@
 	}
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	_ = listener.Close()
-	return &vm{address: address, dir: t.TempDir(), tolerated: 2}
+	return &vm{address: address, dir: t.TempDir(), tolerated: 2, silence: 500 * time.Millisecond}
 }
 
 // start starts the VM and stops it at the end of the test.
@@ -192,7 +83,8 @@
 	v.machine = declared.New(nil)
 	v.group = New(Config{
 		Name: "control", Self: v.address, DataDir: v.dir, Founder: founder, Seeds: seeds, ToleratedLosses: v.tolerated,
-		SilenceTimeout: 500 * time.Millisecond, StateMachine: v.machine, Logger: log.NewNopLogger(),
+		SilenceTimeout: v.silence, StateMachine: v.machine, Logger: log.NewNopLogger(),
+		Declared:  func() bool { version, _ := v.machine.Latest(); return version > 0 },
 		Controls:  func() []netip.AddrPort { return nil },
 		WrapStore: func(s consensus.Store) consensus.Store { return fullDisk{s, &v.full} },
 	})
@@ -270,6 +162,54 @@
 	g.Expect(after.ID).NotTo(Equal(before.ID))
 }
 
+// Three control VMs are stopped for good and replaced, each as soon as the one before has a successor that votes; the first of them
+// leads the group. Then two disks are lost at once. The group must become whole again and hold the declaration. Guards against
+// voters that are gone and raise the quorum: once a successor votes, its predecessor must not.
+func TestReplacementsInSeriesBeforeLostDisks(t *testing.T) {
+	g := NewWithT(t)
+	const silence = 4 * time.Second // longer than a replacement takes, so that several are in progress unless each is whole
+	add := func() *vm {
+		v := newVM(t)
+		v.silence = silence
+		return v
+	}
+	var vms []*vm
+	var seeds []netip.AddrPort
+	for range 5 {
+		vms = append(vms, add())
+		seeds = append(seeds, vms[len(vms)-1].address)
+	}
+	for _, v := range vms {
+		v.start(t, true, seeds)
+	}
+	g.Eventually(allVote(vms, 5), waitTimeout, 20*time.Millisecond).Should(BeTrue())
+	g.Eventually(func() error { return vms[0].declare(7) }, waitTimeout, 20*time.Millisecond).Should(Succeed())
+	slices.SortStableFunc(vms, func(a, b *vm) int {
+		status, _ := a.group.Status()
+		other, _ := b.group.Status()
+		return cmp.Compare(other.Role, status.Role)
+	})
+	for range 3 {
+		vms[0].stop()
+		next := add()
+		next.start(t, false, seeds)
+		vms = append(vms[1:], next)
+		g.Eventually(func() bool {
+			status, ok := next.group.Status()
+			return ok && status.Membership.Voter(status.ID)
+		}, waitTimeout, 20*time.Millisecond).Should(BeTrue())
+	}
+	for _, v := range vms[:2] {
+		v.stop()
+		g.Expect(os.RemoveAll(filepath.Join(v.dir, "group"))).To(Succeed())
+		v.start(t, false, []netip.AddrPort{vms[2].address, vms[3].address, vms[4].address})
+	}
+	g.Eventually(allVote(vms, 5), waitTimeout, 20*time.Millisecond).Should(BeTrue())
+	for _, v := range vms {
+		g.Eventually(func() uint64 { version, _ := v.machine.Latest(); return version }, waitTimeout, 20*time.Millisecond).Should(Equal(uint64(7)))
+	}
+}
+
 // Control VMs that start after the group has formed must become voters, and a declaration must then be acknowledged.
 func TestLateControlVMsBecomeVoters(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/group/maintain.go
+++ b/internal/group/maintain.go
@@ -41,18 +41,11 @@
 			g.locked(func() { g.phase = PhaseMember })
 		}
 		if status.Role == consensus.Leader {
-			g.locked(func() {
-				if g.quietSince.IsZero() {
-					g.quietSince = now
-				}
-			})
-			g.changeMembership(ctx, n, status, now)
+			g.locked(func() { g.planner.Lead(now) })
+			g.changeMembership(ctx, n, now)
 			continue
 		}
-		g.locked(func() {
-			clear(g.silentSince)
-			g.quietSince = time.Time{}
-		})
+		g.locked(g.planner.Follow)
 		if (!voter || now.Sub(heard) > leaderlessTimeout) && now.Sub(askedAt) > leaderlessTimeout/4 {
 			askedAt = now
 			g.askToJoin(ctx)
@@ -87,88 +80,53 @@
 	}
 }
 
-// changeMembership makes at most one membership change, as leader.
-func (g *Group) changeMembership(ctx context.Context, n *node.Node, status consensus.Status, now time.Time) {
-	change, why := g.nextChange(status, now)
+// maxChangesInSeries bounds the membership changes of one check. The removal of a lost voter and the promotion of its replacement
+// follow each other at once, because the group has one voter less in between.
+const maxChangesInSeries = 8
+
+// changeMembership makes the membership changes that are due, as leader.
+func (g *Group) changeMembership(ctx context.Context, n *node.Node, now time.Time) {
+	for range maxChangesInSeries {
+		status := n.Status()
+		if status.Role != consensus.Leader || !g.changeMember(ctx, n, status, now) {
+			return
+		}
+	}
+}
+
+// changeMember makes the next membership change, if there is one, and reports whether it was committed.
+func (g *Group) changeMember(ctx context.Context, n *node.Node, status consensus.Status, now time.Time) bool {
+	var change *consensus.Change
+	var why string
+	g.locked(func() { change, why = g.planner.Next(now, status) })
 	if change == nil {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := n.ChangeMember(ctx, *change)
 	switch result.CodeOf(err) {
 	case result.MemberNotCaughtUp, result.MemberChangeBusy:
-		return // the next check retries
+		return false // the next check retries
 	}
 	_ = g.cfg.Logger.Log("event", "membership_change", "kind", changeName(change.Kind), "identity", change.ID, "why", why,
-		"voters", status.Membership.Voters(), "code", int(result.CodeOf(err)), "error", err)
-}
-
-func changeName(k consensus.ChangeKind) string {
-	return map[consensus.ChangeKind]string{
-		consensus.AddLearner: "add", consensus.Promote: "promote", consensus.Remove: "remove",
-	}[k]
+		"voters", status.Membership.Voters(), "silent", silentVoters(status), "code", int(result.CodeOf(err)), "error", err)
+	return err == nil
 }
 
-// nextChange returns the next membership change and its reason, or nil. In this order: it promotes a learner if there are too
-// few voters, removes a member whose machine asked to join under another identity, adds a machine that asked to join, removes
-// a silent learner or a silent voter that a learner can replace or that is not needed, and promotes a learner.
-func (g *Group) nextChange(status consensus.Status, now time.Time) (*consensus.Change, string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.updateSilence(status, now)
-	ready := g.readyLearner(status)
-	if ready != "" && status.Membership.Voters() < g.wantedVoters() {
-		return &consensus.Change{Kind: consensus.Promote, ID: ready}, "too few voters"
-	}
-	for id, m := range g.joinRequests {
-		if _, ok := status.Membership.Find(id); ok {
-			delete(g.joinRequests, id)
-			continue
-		}
-		for _, old := range status.Membership.Members {
-			if old.Address == m.Address && old.ID != id {
-				return &consensus.Change{Kind: consensus.Remove, ID: old.ID}, "its machine has a new data directory"
-			}
-		}
-		delete(g.joinRequests, id)
-		return &consensus.Change{Kind: consensus.AddLearner, ID: id, Name: m.Name, Address: m.Address}, "asked to join"
-	}
-	for _, m := range status.Membership.Members {
-		since, silent := g.silentSince[m.ID]
-		if !silent || now.Sub(since) < g.cfg.SilenceTimeout {
-			continue
-		}
-		if m.Learner {
-			return &consensus.Change{Kind: consensus.Remove, ID: m.ID}, "silent learner"
-		}
-		if ready != "" || status.Membership.Voters() > g.wantedVoters() {
-			return &consensus.Change{Kind: consensus.Remove, ID: m.ID}, "silent and replaceable"
-		}
-	}
-	if ready != "" {
-		return &consensus.Change{Kind: consensus.Promote, ID: ready}, "caught up"
-	}
-	return nil, ""
-}
-
-// readyLearner returns a learner that is not silent, or "".
-func (g *Group) readyLearner(status consensus.Status) consensus.MemberID {
-	for _, m := range status.Membership.Members {
-		if _, silent := g.silentSince[m.ID]; m.Learner && !silent && m.ID != status.ID {
-			return m.ID
+// silentVoters returns the number of voters that the leader does not hear.
+func silentVoters(status consensus.Status) int {
+	n := 0
+	for _, p := range status.Progress {
+		if !p.Active && status.Membership.Voter(p.ID) {
+			n++
 		}
 	}
-	return ""
+	return n
 }
 
-// updateSilence records the start of the silence of each member that the leader does not hear.
-func (g *Group) updateSilence(status consensus.Status, now time.Time) {
-	for _, p := range status.Progress {
-		if p.Active || p.ID == status.ID {
-			delete(g.silentSince, p.ID)
-		} else if _, ok := g.silentSince[p.ID]; !ok {
-			g.silentSince[p.ID] = now
-		}
-	}
+func changeName(k consensus.ChangeKind) string {
+	return map[consensus.ChangeKind]string{
+		consensus.AddLearner: "add", consensus.Promote: "promote", consensus.Remove: "remove",
+	}[k]
 }
--- a/internal/group/server.go
+++ b/internal/group/server.go
@@ -37,7 +37,7 @@
 		return &pb.JoinResponse{Code: uint32(result.StoreIdentity), Detail: "request names no identity or address"}, nil
 	}
 	if _, ok := n.Status().Membership.Find(member.ID); !ok {
-		g.locked(func() { g.joinRequests[member.ID], g.quietSince = member, time.Now() })
+		g.locked(func() { g.planner.Join(time.Now(), member) })
 	}
 	return &pb.JoinResponse{}, nil
 }
