Conclude from whole rosters only, and call control VMs that were cut off

Cause: (1) a control VM called the control VMs in its roster and the seeds of its start; both sides drop the records of each other after 12 s, SetSeeds reached the group only, and so nobody called it again. (2) A roster counted as settled 1.2 s after the start of its control VM, for good; a restarted process that used this one took flows for held nowhere.

A roster is settled only in contact with the leader of the group, at the leader with all members that respond. A process concludes that a flow is held nowhere only from a settled roster younger than 1.2 s, and so must each agent that ends a chain of the search. SyncResponse tells apart "collecting" (just started) and "not settled". Related paths: copies of open flows no longer go to seeds that are gone; processes that fell silent are invited; new log line roster_settled.

TestIncompleteSweepIsRepeated now publishes a roster after two seconds, as control VMs do; its checks are unchanged. The views of TestPacketsWaitForTheRoster say "collecting" where they say "not settled", as control VMs do after a start. TestInviter stops the inviter, which no longer ends by itself.

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/plantainseam/plantainseam/internal/consensus"
 	"github.com/plantainseam/plantainseam/internal/declared"
 	"github.com/plantainseam/plantainseam/internal/group"
 	"github.com/plantainseam/plantainseam/internal/openflows"
@@ -45,21 +48,30 @@
 	machine *declared.Machine
 	group   *group.Group
 	store   *roster.Store
-	flows   *openflows.Registry
+
+	contactsMu sync.Mutex
+	contacts   *roster.Contacts
+	seeds      []netip.AddrPort
+
+	flows *openflows.Registry
 
 	instruments *instruments
 }
 
 // New returns an authority. Run starts it.
 func New(cfg Config) *Authority {
-	a := &Authority{cfg: cfg, flows: openflows.NewRegistry(), instruments: newInstruments()}
+	a := &Authority{
+		cfg: cfg, flows: openflows.NewRegistry(), instruments: newInstruments(),
+		contacts: roster.NewContacts(cfg.Self), seeds: cfg.Seeds,
+	}
 	a.store = roster.NewStore(time.Now(), func() int { return a.group.Quorum() })
+	a.store.FollowGroup(a.groupState)
 	a.machine = declared.New(func(version uint64) {
 		_ = cfg.Logger.Log("event", "declaration_applied", "version", version)
 	})
 	a.group = group.New(group.Config{
 		Name: cfg.Name, Self: cfg.Self, DataDir: cfg.DataDir, Founder: cfg.Founder, Seeds: cfg.Seeds,
-		ToleratedLosses: cfg.ToleratedLosses, SilenceTimeout: cfg.SilenceTimeout, StateMachine: a.machine, Controls: a.controls, Logger: cfg.Logger,
+		ToleratedLosses: cfg.ToleratedLosses, SilenceTimeout: cfg.SilenceTimeout, StateMachine: a.machine, Controls: a.allContacts, Logger: cfg.Logger,
 		Declared:          func() bool { version, _ := a.machine.Latest(); return version > 0 },
 		Seed:              cfg.Seed,
 		ObserveLeaderless: func(span time.Duration) { a.instruments.leaderless.Observe(span.Seconds()) },
@@ -68,7 +80,12 @@
 }
 
 // SetSeeds replaces the seeds, for example after a configuration reload.
-func (a *Authority) SetSeeds(seeds []netip.AddrPort) { a.group.SetSeeds(seeds) }
+func (a *Authority) SetSeeds(seeds []netip.AddrPort) {
+	a.contactsMu.Lock()
+	a.seeds = seeds
+	a.contactsMu.Unlock()
+	a.group.SetSeeds(seeds)
+}
 
 // controls returns the RPC addresses of the other control VMs in the roster.
 func (a *Authority) controls() []netip.AddrPort {
@@ -81,21 +98,60 @@
 	return out
 }
 
-// exchangePeers returns the RPC addresses of the control VMs to exchange records with: those in the roster, and the seeds.
-func (a *Authority) exchangePeers() []netip.AddrPort {
-	out := a.controls()
-	for _, s := range a.cfg.Seeds {
-		known := s == a.cfg.Self
-		for _, o := range out {
-			known = known || o == s
-		}
-		if !known {
-			out = append(out, s)
+// members returns the RPC addresses of the other members of the group.
+func (a *Authority) members() []netip.AddrPort {
+	status, ok := a.group.Status()
+	if !ok {
+		return nil
+	}
+	var out []netip.AddrPort
+	for _, m := range status.Membership.Members {
+		if at, err := netip.ParseAddrPort(m.Address); err == nil && at != a.cfg.Self {
+			out = append(out, at)
 		}
 	}
 	return out
 }
 
+// dueContacts returns the RPC addresses of the control VMs to exchange records with now.
+func (a *Authority) dueContacts() []netip.AddrPort {
+	controls, members := a.controls(), a.members()
+	a.contactsMu.Lock()
+	defer a.contactsMu.Unlock()
+	return a.contacts.Due(time.Now(), controls, members, a.seeds)
+}
+
+// allContacts returns the RPC addresses of all control VMs that this one has heard of.
+func (a *Authority) allContacts() []netip.AddrPort {
+	controls, members := a.controls(), a.members()
+	a.contactsMu.Lock()
+	defer a.contactsMu.Unlock()
+	return a.contacts.All(controls, members, a.seeds)
+}
+
+// groupState returns the state of the group for the completeness of the roster.
+func (a *Authority) groupState() roster.GroupState {
+	status, ok := a.group.Status()
+	if !ok || status.Leader == "" {
+		return roster.GroupState{}
+	}
+	state := roster.GroupState{Leading: status.Role == consensus.Leader}
+	for _, m := range status.Membership.Members {
+		at, err := netip.ParseAddrPort(m.Address)
+		if err != nil {
+			continue
+		}
+		if m.ID == status.Leader {
+			state.Leader = at.Addr()
+		}
+		responds := func(p consensus.MemberProgress) bool { return p.ID == m.ID && p.Active }
+		if slices.ContainsFunc(status.Progress, responds) {
+			state.Responding = append(state.Responding, at.Addr())
+		}
+	}
+	return state
+}
+
 func (a *Authority) record() roster.Record {
 	version, _ := a.machine.Latest()
 	return roster.Record{
@@ -205,7 +261,7 @@
 	store.Load(time.Now())
 	go store.Run(ctx)
 	go a.measureSpread(ctx)
-	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.exchangePeers, Flows: a.flows, Copies: a.cfg.ToleratedLosses}
+	exchange := &roster.Exchanger{Store: a.store, Self: a.record, Peers: a.dueContacts, Flows: a.flows, Copies: a.cfg.ToleratedLosses, Logger: a.cfg.Logger}
 	go exchange.Run(ctx)
 	done := make(chan struct{})
 	go func() {
--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -89,11 +89,10 @@
 	if t != nil {
 		a.machine.SetTable(t)
 	}
-	if v.Settled || !a.settled {
-		a.settled = v.Settled
+	if a.takesRoster(v) {
 		peers := roster.Peers(v.Records)
 		a.logRosterChange(peers, v)
-		a.machine.SetRoster(newRoster(peers, v))
+		a.machine.SetRoster(a.now(), newRoster(peers, v))
 	}
 }
 
--- a/internal/forwarder/config.go
+++ b/internal/forwarder/config.go
@@ -76,7 +76,8 @@
 	table *passthrough.Table
 	// provisional is set while the table comes from a control VM without a leader.
 	provisional  bool
-	settled      bool
+	collected    bool  // the roster in use is one of a control VM that had collected reports
+	settledMs    int64 // when the last settled roster arrived
 	leaving      bool
 	reportCount  uint64 // number of reports made
 	loggedRoster rosterSummary
@@ -185,9 +186,28 @@
 // SetSeeds replaces the configured control VMs after a reload.
 func (n *node) SetSeeds(seeds []netip.AddrPort) { n.client.SetSeeds(seeds) }
 
+// takesRoster reports whether the roster of a view replaces the one in use. That of a control VM that has just started may lack
+// agents, so it replaces no other. A roster that is not settled, such as that of a control VM that was cut off, replaces a settled
+// one only when that is so old that nothing may be concluded from it either. The caller holds mu.
+func (n *node) takesRoster(v roster.View) bool {
+	now := n.now()
+	switch {
+	case v.Settled:
+		n.collected, n.settledMs = true, now
+		return true
+	case !n.collected:
+		n.collected = !v.Collecting
+		return true
+	case v.Collecting:
+		return false
+	default:
+		return now-n.settledMs >= passthrough.MaxWholeRosterMs
+	}
+}
+
 func newRoster(peers []passthrough.Peer, v roster.View) *passthrough.Roster {
 	r := passthrough.NewRoster(peers, v.Settled)
-	r.Quiet = v.Settled || v.Quiet
+	r.Quiet = !v.Collecting || v.Quiet
 	return r
 }
 
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -21,7 +21,7 @@
 	machine      *passthrough.Entry
 	conn         *net.UDPConn
 	counts       *counters
-	waiting      *waitingPackets // guarded by mu; nil once the roster is settled
+	waiting      *waitingPackets // guarded by mu; nil once the control VM has collected reports
 	afterFunc    func(time.Duration, func())
 	silentAgents map[passthrough.Endpoint]bool // agents that receive no new flow because they do not report; guarded by mu
 	isolation    isolation                     // guarded by mu
@@ -67,9 +67,7 @@
 	if t != nil {
 		e.machine.SetTable(t)
 	}
-	// The roster of a control VM that has just started may lack agents, so it does not replace a settled roster.
-	if v.Settled || !e.settled {
-		e.settled = v.Settled
+	if e.takesRoster(v) {
 		peers := roster.Peers(v.Records)
 		e.logRosterChange(peers, v)
 		e.logSilence(peers)
@@ -86,10 +84,10 @@
 		return nil
 	}
 	var out []waitingPacket
-	if v.Settled || v.Quiet {
+	if !v.Collecting || v.Quiet {
 		out = e.waiting.takeOpening(e.now())
 	}
-	if e.settled {
+	if e.collected {
 		rest := e.waiting
 		e.waiting = nil
 		out = append(out, rest.established(e.now())...)
@@ -185,7 +183,7 @@
 	e.mu.Lock()
 	d := e.machine.Packet(e.now(), s)
 	e.isolation.notePacket(e.now(), d)
-	if e.waiting != nil && mustWait(d, e.settled) {
+	if e.waiting != nil && mustWait(d, e.collected) {
 		e.waiting.add(e.now(), s, b)
 	}
 	e.mu.Unlock()
--- a/internal/forwarder/waiting.go
+++ b/internal/forwarder/waiting.go
@@ -84,9 +84,10 @@
 	return out
 }
 
-// mustWait reports whether the packet has to be stored after the decision. settled reports whether the roster is settled.
-func mustWait(d passthrough.Decision, settled bool) bool {
-	if settled {
+// mustWait reports whether the packet has to be stored after the decision. collected reports whether the control VM that gave the
+// roster had collected reports.
+func mustWait(d passthrough.Decision, collected bool) bool {
+	if collected {
 		return false
 	}
 	switch d.Reason {
--- a/internal/forwarder/waiting_test.go
+++ b/internal/forwarder/waiting_test.go
@@ -67,12 +67,13 @@
 	}
 }
 
+// view returns a view of a control VM that still collects reports unless settled is set.
 func view(t *testing.T, settled, quiet bool, records ...roster.Record) roster.View {
 	packed, err := declared.Pack([]byte("{}"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return roster.View{Records: records, Settled: settled, Quiet: quiet, Version: 1, Declaration: packed}
+	return roster.View{Records: records, Settled: settled, Collecting: !settled, Quiet: quiet, Version: 1, Declaration: packed}
 }
 
 // A caller retransmits an opening packet only after 200 and 600 ms. Packets that arrive before the entry has a roster
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -57,6 +57,7 @@
 	Self          Endpoint
 	table         *Table
 	roster        *Roster
+	rosterMs      int64 // when the roster arrived
 	chooser       chooser
 	upstream      Upstream
 	upstreamEnded bool // the upstream has ended and no other one has announced itself
@@ -84,8 +85,8 @@
 func (a *Agent) SetTable(t *Table) { a.table = t }
 
 // SetRoster replaces the roster.
-func (a *Agent) SetRoster(r *Roster) {
-	a.roster = r
+func (a *Agent) SetRoster(now int64, r *Roster) {
+	a.roster, a.rosterMs = r, now
 	a.directoryMap.update(r)
 }
 
--- a/internal/passthrough/directory_test.go
+++ b/internal/passthrough/directory_test.go
@@ -209,7 +209,7 @@
 	g.Expect(n.resets).To(gomega.BeEmpty())
 	delete(n.down, tunnel(100))
 	n.agents[tunnel(100)] = NewAgent(tunnel(100), "d")
-	n.agents[tunnel(100)].SetRoster(n.entries[0].roster)
+	n.agents[tunnel(100)].SetRoster(n.now, n.entries[0].roster)
 	n.hosts[tunnel(100)].absent = true
 	n.send(0, data(8))
 	g.Expect(n.resets).To(gomega.BeEmpty(), "an agent that has just started has not heard its upstream")
@@ -228,6 +228,7 @@
 	g.Expect(n.resets).To(gomega.BeEmpty())
 	delete(n.down, tunnel(100))
 	n.now += sweepTTLMs
+	n.publish() // rosters arrive every 400 ms
 	for _, a := range n.agents {
 		if state := a.sweeps[caller(7)]; state != nil {
 			pending := state.pending
--- a/internal/passthrough/net_test.go
+++ b/internal/passthrough/net_test.go
@@ -91,7 +91,7 @@
 	}
 	for _, a := range n.agents {
 		a.SetTable(n.table)
-		a.SetRoster(r)
+		a.SetRoster(n.now, r)
 	}
 }
 
--- a/internal/passthrough/passthrough_test.go
+++ b/internal/passthrough/passthrough_test.go
@@ -94,7 +94,7 @@
 		{"an upstream that has not announced itself since the start of its agent", func(n *network, at Endpoint) {
 			n.agents[at] = NewAgent(at, "d")
 			n.agents[at].SetTable(n.table)
-			n.agents[at].SetRoster(n.entries[0].roster)
+			n.agents[at].SetRoster(n.now, n.entries[0].roster)
 		}},
 		{"a full upstream", func(n *network, at Endpoint) { n.hosts[at].full = true }},
 		{"an address that another service reuses", func(n *network, at Endpoint) {
--- a/internal/passthrough/property_test.go
+++ b/internal/passthrough/property_test.go
@@ -71,7 +71,7 @@
 				n.entries[i] = e
 			},
 			"stop agent":    func(*rapid.T) { n.down[agent()] = true },
-			"restart agent": func(*rapid.T) { at := agent(); n.startAgent(at); n.agents[at].SetRoster(n.entries[0].roster) },
+			"restart agent": func(*rapid.T) { at := agent(); n.startAgent(at); n.agents[at].SetRoster(n.now, n.entries[0].roster) },
 			"drain": func(*rapid.T) {
 				at := agent()
 				n.hosts[at].draining = true
@@ -82,7 +82,7 @@
 					t.Skip("enough agents")
 				}
 				n.addAgent(tunnel(added), rapid.SampledFrom([]string{"s", "other"}).Draw(t, "service"))
-				n.agents[tunnel(added)].SetRoster(n.entries[0].roster)
+				n.agents[tunnel(added)].SetRoster(n.now, n.entries[0].roster)
 				added++
 				n.publish() // rosters may lack an agent without flows, but never one that holds flows
 			},
--- a/internal/passthrough/relay.go
+++ b/internal/passthrough/relay.go
@@ -109,11 +109,11 @@
 			Verdict: Drop, Reason: ReasonPassedOn, Peer: h.Section.Start,
 			SectionSearched: &SectionSearched{
 				Flow: s.Flow, Index: h.Section.Index, Attempt: h.Section.Attempt,
-				Inconclusive: h.Inconclusive || len(visited) >= MaxVisited,
+				Inconclusive: h.Inconclusive || len(visited) >= MaxVisited || !a.roster.Whole(now-a.rosterMs),
 			},
 		}
 	}
-	if a.roster.Settled && !h.Inconclusive && len(visited) < MaxVisited && !s.Rst {
+	if a.roster.Whole(now-a.rosterMs) && !h.Inconclusive && len(visited) < MaxVisited && !s.Rst {
 		return Decision{Verdict: SendReset, Reason: ReasonHeldNowhere}
 	}
 	return Decision{Verdict: Drop, Reason: ReasonHeldNowhere}
--- a/internal/passthrough/roster.go
+++ b/internal/passthrough/roster.go
@@ -26,10 +26,14 @@
 // it.
 func (p *Peer) Silent() bool { return p.AgeMs >= silentAfterMs }
 
+// MaxWholeRosterMs is the age from which on a roster may lack agents that have started since: three intervals of 400 ms, those of
+// reports, of exchanges between control VMs and of fetches of rosters.
+const MaxWholeRosterMs = 1200
+
 // Roster is an immutable view of all agents.
 type Roster struct {
 	Peers   []Peer
-	Settled bool // contains every live agent
+	Settled bool // contained every live agent when it arrived
 	Quiet   bool // no agent was added recently
 	index   map[Endpoint]int
 	failing map[string]serviceHealth // services with failing upstreams
@@ -48,6 +52,10 @@
 	return r
 }
 
+// Whole reports whether the roster, which arrived the given time ago, contains every live agent. Only then may a process conclude
+// that a flow is held nowhere, after all of them have returned its packet.
+func (r *Roster) Whole(ageMs int64) bool { return r.Settled && ageMs < MaxWholeRosterMs }
+
 func (r *Roster) countFailing() {
 	for _, p := range r.Peers {
 		if !p.Active || !p.Failing || p.Silent() {
--- a/internal/passthrough/search_test.go
+++ b/internal/passthrough/search_test.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -302,3 +303,48 @@
 		})
 	}
 }
+
+// An agent may reset a flow that all agents of its roster have returned only if the roster contains every live agent. Guards
+// against resets by agents whose control VM had been cut off, or that were cut off from control VMs themselves: their rosters lack
+// the agents that have started since.
+func TestOnlyWholeRostersProveLoss(t *testing.T) {
+	for _, agents := range []int{5, largeAgents} { // one chain, and a sweep of several
+		for _, c := range []struct {
+			name    string
+			settled bool
+			ageMs   int64
+			reset   bool
+		}{
+			{"settled and fresh", true, 400, true},
+			{"settled and old", true, MaxWholeRosterMs, false},
+			{"not settled", false, 0, false},
+		} {
+			t.Run(fmt.Sprintf("%s, %d agents", c.name, agents), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				n := newNetwork(1, agents)
+				n.settled = c.settled
+				n.publish()
+				n.now += c.ageMs
+				n.send(0, data(7))
+				g.Expect(len(n.resets) > 0).To(gomega.Equal(c.reset))
+			})
+		}
+	}
+}
+
+// The agent that ends a chain of a sweep decides for its section: if its roster is old, the sweep proves nothing although the
+// agent that started it has a fresh one.
+func TestOldRosterInOneSectionProvesNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newNetwork(1, largeAgents)
+	old := n.entries[0].roster
+	n.now += 2 * MaxWholeRosterMs
+	n.publish()
+	for i, at := range n.order {
+		if i%2 == 0 {
+			n.agents[at].SetRoster(n.now-2*MaxWholeRosterMs, old)
+		}
+	}
+	n.send(0, data(7))
+	g.Expect(n.resets).To(gomega.BeEmpty())
+}
--- a/internal/passthrough/sweep.go
+++ b/internal/passthrough/sweep.go
@@ -103,7 +103,7 @@
 		return Segment{}, Decision{Verdict: Drop, Reason: ReasonPassedOn}
 	}
 	delete(a.sweeps, m.Flow)
-	if state.uncertain || !a.roster.Settled || state.packet.Rst {
+	if state.uncertain || !a.roster.Whole(now-a.rosterMs) || state.packet.Rst {
 		return state.packet, Decision{Verdict: Drop, Reason: ReasonHeldNowhere}
 	}
 	return state.packet, Decision{Verdict: SendReset, Reason: ReasonHeldNowhere}
--- a/internal/roster/client.go
+++ b/internal/roster/client.go
@@ -22,6 +22,7 @@
 type View struct {
 	Records     []Record
 	Settled     bool   // Records contains every live process
+	Collecting  bool   // the control VM has just started and may not have heard every live process
 	Quiet       bool   // new flows may be placed
 	Current     bool   // the control VM hears the leader of its group
 	Version     uint64 // of the newest declaration at the control VM
@@ -70,9 +71,10 @@
 	connectAttempts  int              // attempts to connect since the last success
 	settledRecords   []Record         // records of the last settled roster
 	settledRecordsAt time.Time        // when settledRecords arrived
-	sendKnown        bool             // the last roster was not settled: reports carry settledRecords
+	sendKnown        bool             // the control VM collects records: reports carry settledRecords
 	replica          replica          // roster as of the last response
 	settled          bool             // the last response called its roster settled
+	collecting       bool             // the last response came from a control VM that collects records
 	recordCount      int              // number of records after the last response
 }
 
@@ -162,7 +164,7 @@
 	switch {
 	case !reached || c.cfg.DeclaredVersion() == 0:
 		return retryInterval
-	case !c.settled:
+	case c.collecting || !c.settled && c.settledRecordsAt.IsZero():
 		return unsettledInterval(c.recordCount)
 	default:
 		return Interval
@@ -222,7 +224,10 @@
 }
 
 func (c *Client) applyResponse(at netip.AddrPort, response *pb.SyncResponse) {
-	v := View{Settled: response.GetSettled(), Quiet: response.GetQuiet(), Current: response.GetCurrent(), Version: response.GetDeclared(), Declaration: response.GetDeclaration(), From: at}
+	v := View{
+		Settled: response.GetSettled(), Collecting: response.GetCollecting(), Quiet: response.GetQuiet(), Current: response.GetCurrent(),
+		Version: response.GetDeclared(), Declaration: response.GetDeclaration(), From: at,
+	}
 	c.mu.Lock()
 	applied := c.replica.apply(time.Now(), response)
 	v.Records = c.replica.list(time.Now())
@@ -248,8 +253,9 @@
 		return a.Address.Less(b.Address)
 	})
 	c.mu.Lock()
-	c.settled, c.recordCount = v.Settled, len(v.Records)
-	c.sendKnown = !v.Settled && len(c.settledRecords) > 0
+	c.recordCount = len(v.Records)
+	c.settled, c.collecting = v.Settled, v.Collecting
+	c.sendKnown = c.collecting && len(c.settledRecords) > 0
 	if v.Settled {
 		c.settledRecords, c.settledRecordsAt = v.Records, time.Now()
 	}
--- a/internal/roster/exchange.go
+++ b/internal/roster/exchange.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/plantainseam/plantainseam/internal/openflows"
 	pb "github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
@@ -22,6 +24,7 @@
 	// Copies is the number of other control VMs that store copies of the agents' flow reports. It equals the number of
 	// control VMs that may lose their disks at once.
 	Copies int
+	Logger log.Logger
 
 	clients map[netip.AddrPort]*peerClient // used by Run only
 }
@@ -47,6 +50,7 @@
 	e.clients = map[netip.AddrPort]*peerClient{}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	settledBefore := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -56,7 +60,7 @@
 		now := time.Now()
 		e.Store.Put(now, e.Self())
 		peers := e.Peers()
-		targets := e.copyTargets(peers)
+		targets := e.copyTargets(e.answering(now, peers))
 		unreached := e.unreached(now, peers)
 		for _, peer := range peers {
 			p := e.client(peer)
@@ -69,7 +73,13 @@
 			default: // responses of concurrent calls could be reordered
 			}
 		}
-		if e.Store.Settled(now) {
+		settled := e.Store.Settled(now)
+		if settled != settledBefore {
+			settledBefore = settled
+			_ = e.Logger.Log("event", "roster_settled", "settled", settled, "peers", len(peers), "unreached", len(unreached),
+				"collecting", e.Store.Collecting(now))
+		}
+		if settled {
 			timer.Reset(exchangePeriod)
 		} else {
 			timer.Reset(unsettledInterval(len(e.Store.List(now))))
@@ -103,6 +113,13 @@
 	return out
 }
 
+// answering returns the control VMs that have answered, or were called for the first time, less than expiry ago.
+func (e *Exchanger) answering(now time.Time, peers []netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(peers), func(at netip.AddrPort) bool {
+		return now.Sub(time.Unix(0, e.client(at).answeredAt.Load())) >= expiry
+	})
+}
+
 // copyTargets returns the control VMs that get copies: the next ones by address after this one, wrapping around at the
 // highest address.
 func (e *Exchanger) copyTargets(peers []netip.AddrPort) []netip.AddrPort {
@@ -146,9 +163,9 @@
 	request := &pb.ExchangeRequest{
 		Self: ToWire(e.Self()), Remembered: e.Store.unsettledList(now), Feed: position.Feed, Position: position.Change,
 	}
-	if !e.Store.Settled(now) {
+	request.Unsettled = !e.Store.Settled(now)
+	if e.Store.Collecting(now) {
 		request.Known = wireRecords(e.Store.List(now)) // the other control VM may not call for another 400 ms
-		request.Unsettled = true
 	}
 	if e.Flows != nil {
 		request.Flows = e.Flows.Loaded(p.at)
--- a/internal/roster/invite.go
+++ b/internal/roster/invite.go
@@ -21,38 +21,43 @@
 	// inviteDuration is how long a control VM sends invitations. Processes that lost power together start within 0.5 s of
 	// each other.
 	inviteDuration = time.Second
+	// absentInterval is the time between two invitations to a process that has fallen silent.
+	absentInterval = 2 * time.Second
 )
 
-// Inviter announces a control VM after its start to the processes in its process file. After a loss of all power those
-// processes know only their seeds: without an invitation, nobody would call a control VM outside the seeds until a seed is
-// back.
+// Inviter announces a control VM to processes that may not know one that runs: after its start to those in its process file, and
+// later to those that fell silent. After a loss of all power, or after a partition in which all control VMs that they knew were
+// replaced, nobody else would tell them.
 type Inviter struct {
 	Store  *Store
 	Self   netip.AddrPort // RPC address of this control VM
 	Logger log.Logger
+	// AbsentInterval is the time between two invitations to absent processes. The default is absentInterval.
+	AbsentInterval time.Duration
 }
 
-// Run sends invitations to the given addresses until the roster is settled, for at most inviteDuration.
+// Run sends invitations to the given addresses until the roster is settled, for at most inviteDuration, and then to absent
+// processes until ctx is done.
 func (i *Inviter) Run(ctx context.Context, processes []netip.AddrPort) {
-	if len(processes) == 0 {
-		return
-	}
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(i.Self.Addr(), 0)))
 	if err != nil {
 		_ = i.Logger.Log("event", "invitations_not_sent", "error", err)
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	datagram := passthrough.AppendInvite(nil, passthrough.EndpointOf(i.Self))
+	if len(processes) > 0 {
+		i.inviteKnown(ctx, conn, processes)
+	}
+	i.inviteAbsent(ctx, conn)
+}
+
+// inviteKnown sends invitations to the processes in the process file.
+func (i *Inviter) inviteKnown(ctx context.Context, conn *net.UDPConn, processes []netip.AddrPort) {
 	ticker := time.NewTicker(inviteInterval + time.Duration(len(processes))*invitePerProcess)
 	defer ticker.Stop()
 	failed := 0
 	for started := time.Now(); time.Since(started) < inviteDuration && !i.Store.Settled(time.Now()); {
-		for _, at := range processes {
-			if _, err := conn.WriteToUDPAddrPort(datagram, at); err != nil {
-				failed++ // the next round retries
-			}
-		}
+		failed += i.send(conn, processes)
 		select {
 		case <-ctx.Done():
 			return
@@ -61,3 +66,38 @@
 	}
 	_ = i.Logger.Log("event", "invitations_sent", "processes", len(processes), "failed", failed)
 }
+
+// inviteAbsent sends invitations to absent processes until ctx is done.
+func (i *Inviter) inviteAbsent(ctx context.Context, conn *net.UDPConn) {
+	every := i.AbsentInterval
+	if every == 0 {
+		every = absentInterval
+	}
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	invited := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			absent := i.Store.Absent(now)
+			failed := i.send(conn, absent)
+			if len(absent) != invited {
+				invited = len(absent)
+				_ = i.Logger.Log("event", "absent_processes_invited", "processes", invited, "failed", failed)
+			}
+		}
+	}
+}
+
+// send sends an invitation to each address and returns the number of those that could not be sent; the next round repeats them.
+func (i *Inviter) send(conn *net.UDPConn, processes []netip.AddrPort) (failed int) {
+	datagram := passthrough.AppendInvite(nil, passthrough.EndpointOf(i.Self))
+	for _, at := range processes {
+		if _, err := conn.WriteToUDPAddrPort(datagram, at); err != nil {
+			failed++
+		}
+	}
+	return failed
+}
--- a/internal/roster/invite_test.go
+++ b/internal/roster/invite_test.go
@@ -146,7 +146,9 @@
 	invite := func(started time.Time) {
 		store := roster.NewStore(started, noQuorum)
 		inviter := &roster.Inviter{Store: store, Self: self, Logger: log.NewNopLogger()}
-		inviter.Run(t.Context(), []netip.AddrPort{process.LocalAddr().(*net.UDPAddr).AddrPort()})
+		ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond) // inviteDuration, and less than absentInterval
+		defer cancel()
+		inviter.Run(ctx, []netip.AddrPort{process.LocalAddr().(*net.UDPAddr).AddrPort()})
 	}
 	b := make([]byte, 100)
 	invite(time.Now())
@@ -170,3 +172,37 @@
 	invite(time.Now().Add(-time.Minute)) // settled: settleTime has passed
 	g.Expect(queued()).To(gomega.BeZero())
 }
+
+// A process that fell silent without leaving must be invited until it is heard again: all control VMs that it knew may have been
+// replaced while it was cut off. One that stopped as planned must not be.
+func TestAbsentProcessesAreInvited(t *testing.T) {
+	g := gomega.NewWithT(t)
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = socket.Close() })
+	at := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	started := time.Now().Add(-time.Minute)
+	store := roster.NewStore(started, noQuorum)
+	process := roster.Record{Kind: roster.KindEntry, Address: at.Addr(), TunnelPort: at.Port()}
+	stopped := agent(9, 0)
+	stopped.Leaving = true
+	store.Put(started, process, stopped)
+	store.List(time.Now())
+	g.Expect(store.Absent(time.Now())).To(gomega.Equal([]netip.AddrPort{at}))
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	self := netip.MustParseAddrPort("127.0.0.1:7700")
+	go (&roster.Inviter{Store: store, Self: self, Logger: log.NewNopLogger(), AbsentInterval: 10 * time.Millisecond}).Run(ctx, nil)
+	b := make([]byte, 100)
+	for range 2 {
+		n, err := socket.Read(b)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		d, err := passthrough.Decode(b[:n])
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(d.Invite.AddrPort()).To(gomega.Equal(self))
+	}
+	store.Put(time.Now(), process)
+	g.Expect(store.Absent(time.Now())).To(gomega.BeEmpty())
+	store.List(time.Now().Add(2 * time.Hour))
+	g.Expect(store.Absent(time.Now().Add(4*time.Hour))).To(gomega.BeEmpty(), "a process that never comes back is given up")
+}
--- a/internal/roster/liveness.go
+++ b/internal/roster/liveness.go
@@ -56,7 +56,11 @@
 		}
 	}
 	c.answeredAt, c.position = now, Position{response.GetFeed(), response.GetPosition()}
-	s.settledByPeer = s.settledByPeer || response.GetSettled()
+	if response.GetSettled() && s.collecting(now) {
+		s.settledByPeer = true
+		s.completeness.noteComplete(now)
+	}
+	s.completeness.noteAnswer(now, from, response.GetSettled())
 }
 
 // peerPosition returns the feed position of the last response from a control VM, or the zero value if there is none.
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -41,7 +41,9 @@
 		s.store.Put(now, self)
 	}
 	s.store.put(now, false, fromWire(request.GetKnown()))
-	response := &pb.SyncResponse{Current: s.declarations.Current(), Quiet: s.store.Quiet(now)}
+	response := &pb.SyncResponse{
+		Current: s.declarations.Current(), Quiet: s.store.Quiet(now), Collecting: s.store.Collecting(now),
+	}
 	version, content := s.declarations.Latest()
 	response.Declared = version
 	if version > request.GetDeclared() {
--- a/internal/roster/store.go
+++ b/internal/roster/store.go
@@ -21,7 +21,7 @@
 	// leavingExpiry is how long the record of a process that stops without an upstream is kept, so that all control VMs
 	// receive it.
 	leavingExpiry = 3 * time.Second
-	// settleTime is how long a new store collects reports before it counts as complete: a process reports within Interval,
+	// settleTime is how long a new store collects reports at most: a process reports within Interval,
 	// or callTimeout later if its control VM does not respond, and every process passes on its last settled roster.
 	settleTime = 1200 * time.Millisecond
 	// quietPeriod is how long no new agent may have reported before the store is used to place new flows. Processes that
@@ -39,6 +39,12 @@
 	rememberedTrust = 2500 * time.Millisecond
 )
 
+// Limits on the processes that are invited after their records have expired.
+const (
+	absentRetention = time.Hour
+	maxAbsent       = 1024
+)
+
 type key struct {
 	kind    Kind
 	address uint32
@@ -62,6 +68,12 @@
 	commonRestart bool      // with settledEarly: nearly all upstreams had restarted
 	settledByPeer bool      // another control VM sent all records of its settled roster
 
+	absent map[key]absentProcess // entries and agents that fell silent without leaving
+
+	// group returns the state of the group. It is nil if this control VM is the only one.
+	group        func() GroupState
+	completeness completeness
+
 	quorum     func() int                    // number of lists needed to know all agents; 0 if unknown
 	remembered map[uint32]rememberedUpstream // agents in all lists, by address
 	listsFrom  map[uint32]struct{}           // addresses of the control VMs whose lists are included
@@ -69,22 +81,32 @@
 	savedList  *pb.Remembered                // list in the process file of this control VM
 }
 
+// absentProcess is a process whose record has expired.
+type absentProcess struct {
+	tunnel netip.AddrPort
+	since  time.Time
+}
+
 // rememberedUpstream is the state of an agent's upstream in the saved lists, from before the start.
 type rememberedUpstream struct {
 	state       State
 	incarnation uint64
 }
 
-// NewStore returns an empty store. Its roster settles after settleTime, or earlier once all agents in the lists of quorum
+// NewStore returns an empty store. It collects reports for settleTime, or earlier once all agents in the lists of quorum
 // control VMs have reported.
 func NewStore(now time.Time, quorum func() int) *Store {
 	return &Store{
 		records: map[key]storedRecord{}, started: now, lastNewAgent: now,
 		quorum: quorum, remembered: map[uint32]rememberedUpstream{}, listsFrom: map[uint32]struct{}{},
-		peers: map[uint32]*peerLiveness{},
+		peers: map[uint32]*peerLiveness{}, completeness: newCompleteness(),
+		absent: map[key]absentProcess{},
 	}
 }
 
+// FollowGroup sets the source of the group's state. It must be called before the store is used.
+func (s *Store) FollowGroup(group func() GroupState) { s.group = group }
+
 // Put stores records that processes reported to this control VM.
 func (s *Store) Put(now time.Time, records ...Record) {
 	s.put(now, true, records)
@@ -109,6 +131,7 @@
 			next.firstSequence = old.firstSequence // the series is unbroken: no report went to another control VM
 		}
 		s.records[k] = next
+		delete(s.absent, k)
 	}
 }
 
@@ -144,6 +167,7 @@
 		age := now.Sub(s.lastHeard(k, v))
 		if age > expiry || v.record.Leaving && v.record.State == StateVacant && age > leavingExpiry {
 			delete(s.records, k)
+			s.noteAbsent(now, v.record)
 			continue
 		}
 		v.record.Age = age
@@ -155,6 +179,29 @@
 	return out
 }
 
+// noteAbsent remembers a process whose record has expired, unless it announced that it was stopping. The caller holds mu.
+func (s *Store) noteAbsent(now time.Time, r Record) {
+	if r.Kind == KindControl || r.Leaving || r.TunnelPort == 0 || len(s.absent) >= maxAbsent {
+		return
+	}
+	s.absent[key{r.Kind, addressBits(r.Address)}] = absentProcess{netip.AddrPortFrom(r.Address, r.TunnelPort), now}
+}
+
+// Absent returns the tunnel addresses of the processes that fell silent without leaving, for absentRetention.
+func (s *Store) Absent(now time.Time) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []netip.AddrPort
+	for k, p := range s.absent {
+		if now.Sub(p.since) > absentRetention {
+			delete(s.absent, k)
+			continue
+		}
+		out = append(out, p.tunnel)
+	}
+	return out
+}
+
 // Settled reports whether the store is known to contain every live process.
 func (s *Store) Settled(now time.Time) bool {
 	s.mu.Lock()
@@ -163,19 +210,35 @@
 }
 
 // settled implements Settled. The caller holds mu.
-func (s *Store) settled(now time.Time) bool {
-	if !s.settledEarly && now.Sub(s.started) < settleTime {
-		s.settledEarly = s.quorumReported()
+func (s *Store) settled(now time.Time) bool { return !s.collecting(now) && s.complete(now) }
+
+// complete reports whether the processes that report to the other control VMs are known. The caller holds mu.
+func (s *Store) complete(now time.Time) bool {
+	return s.group == nil || s.completeness.complete(now, s.group())
+}
+
+// Collecting reports whether the store has just started and may not have heard every live process yet.
+func (s *Store) Collecting(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.collecting(now)
+}
+
+// collecting implements Collecting. The caller holds mu.
+func (s *Store) collecting(now time.Time) bool {
+	if !s.settledEarly && now.Sub(s.started) < settleTime && s.quorumReported() {
+		s.settledEarly = true
+		s.completeness.noteComplete(now)
 	}
-	return s.settledEarly || s.settledByPeer || now.Sub(s.started) >= settleTime
+	return !s.settledEarly && !s.settledByPeer && now.Sub(s.started) < settleTime
 }
 
 // Quiet reports whether new flows may be placed: no new agent has reported for quietPeriod, nearly all agents in the lists
-// received so far have reported, or the roster is settled. A missing agent only makes the balance worse.
+// received so far have reported, or the store has collected reports. A missing agent only makes the balance worse.
 func (s *Store) Quiet(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.lastNewAgent) >= quietPeriod || s.settled(now) || len(s.listsFrom) > 0 && s.countRemembered().mostReported()
+	return now.Sub(s.lastNewAgent) >= quietPeriod || !s.collecting(now) || len(s.listsFrom) > 0 && s.countRemembered().mostReported()
 }
 
 // remember adds the saved list of a control VM, with the agents that it knew before its start. own is set for the list of
@@ -280,12 +343,12 @@
 	return before.state == StateVacant || s.settledEarly && (before.state == StateDraining || s.commonRestart)
 }
 
-// unsettledList returns the saved list of this control VM for other control VMs. It returns nil once the roster is settled,
-// since the roster then replaces the list.
+// unsettledList returns the saved list of this control VM for other control VMs. It returns nil once the store has collected
+// reports, since the roster then replaces the list.
 func (s *Store) unsettledList(now time.Time) *pb.Remembered {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.settled(now) {
+	if !s.collecting(now) {
 		return nil
 	}
 	return s.savedList
