End the flows of an upstream only when a new incarnation is proven

Cause: the decoder accepted reports that lack fields, and any announcement with a later start counted as a new incarnation.

Ruled out: refusing malformed reports alone. A whole report of another process would do the same, as the model shows.

Related paths: a wrong notice of the end, odd reports at an agent that has just started, agents that counted as vacant beside an upstream that sends, acknowledged drains that are not followed.

--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -102,6 +102,9 @@
 	now := time.Now()
 	before := a.tracker.Upstream(now)
 	earlier, _ := a.tracker.Last()
+	a.tracker.Evidence = upstream.Evidence{
+		Returned: a.machine.ReturnedFlows(), SpokeAt: a.started.Add(time.Duration(a.machine.SpokeMs()) * time.Millisecond),
+	}
 	outcome := a.tracker.Announce(now, n)
 	after := a.tracker.Upstream(now)
 	a.machine.SetUpstream(a.now(), after, outcome == upstream.Restarted)
@@ -109,7 +112,7 @@
 	if n.Born < earlier.Born {
 		orphans = nil // the order of the two incarnations is not certain
 	}
-	if outcome != upstream.Stale {
+	if outcome.Followed() {
 		a.machine.NoteAnnouncement(a.now())
 	}
 	health := a.machine.TakeHealthChange()
@@ -118,7 +121,8 @@
 	a.resetOrphans(orphans)
 	if before.Active != after.Active || before.Service != after.Service || outcome != upstream.Accepted {
 		_ = a.cfg.Logger.Log("event", "upstream_announced", "upstream", n.ID, "service", n.Service, "sequence", n.Sequence,
-			"born", n.Born, "draining", n.Draining, "outcome", outcome, "active", after.Active)
+			"born", n.Born, "draining", n.Draining, "outcome", outcome, "active", after.Active, "known", earlier.ID,
+			"known_born", earlier.Born, "returned_flows", a.tracker.Evidence.Returned)
 		a.client.Wake()
 	}
 	return outcome
@@ -131,6 +135,12 @@
 	return a.tracker.Last()
 }
 
+// Follows reports whether the upstream in use is the incarnation that sent an announcement.
+func (a *Agent) Follows(n upstream.Announcement) bool {
+	last, known := a.LastAnnouncement()
+	return known && last.ID == n.ID && last.Born == n.Born
+}
+
 // Gone processes the end of the upstream with the ID.
 func (a *Agent) Gone(id string) {
 	a.mu.Lock()
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -71,9 +71,13 @@
 	directoryMap  directoryMap
 	sweeps        map[Flow]*sweep // sweeps that this agent has started
 
-	announcedMs int64 // last announcement of the current incarnation of the upstream
-	outcomes    outcomes
-	takenHealth Health // health at the last TakeHealthChange
+	announcedMs    int64 // last announcement of the current incarnation of the upstream
+	returnedFlows  int   // open flows that the upstream has returned since it last sent a packet of one or announced itself
+	spokeMs        int64 // when the upstream last sent a packet of a flow that was open before its last announcement
+	heard          bool  // the upstream has sent or returned a packet
+	heldBeforehand bool  // the upstream held a flow when this agent started
+	outcomes       outcomes
+	takenHealth    Health // health at the last TakeHealthChange
 }
 
 // NewAgent returns an agent in a failure domain.
@@ -101,6 +105,7 @@
 	}
 	lost := a.openCount
 	a.orphanFlows()
+	a.heldBeforehand = false
 	if before.Service != u.Service || before.Leaving {
 		a.outcomes = outcomes{}
 		return
@@ -148,10 +153,10 @@
 	return slices.SortedFunc(maps.Keys(seen), compareEndpoints)
 }
 
-// Vacant reports whether the VM has no upstream: it has ended, or none has announced itself within the grace period
-// after the start of the agent.
+// Vacant reports whether the VM has no upstream: it has ended, or none has announced itself or sent a packet within the grace
+// period after the start of the agent.
 func (a *Agent) Vacant(now int64) bool {
-	return !a.upstream.Present && (a.upstreamEnded || now >= startupGraceMs)
+	return !a.upstream.Present && (a.upstreamEnded || now >= startupGraceMs && !a.heard)
 }
 
 // accepts reports whether the upstream may take a new flow according to the newer one of two declarations: the agent's
@@ -249,6 +254,7 @@
 // FromHost decides about a packet that the upstream sent or returned. The flow of s is always the caller's view.
 func (a *Agent) FromHost(now int64, s Segment) Decision {
 	a.abandonHalfOpen(now)
+	a.heard = true
 	if s.Bounced {
 		return a.handleBounced(now, s)
 	}
@@ -262,6 +268,7 @@
 		a.flows[s.Flow] = f
 	}
 	f.lastPacketMs = now
+	a.recordSpeech(now, f, s)
 	f.recordAnswer(now, s)
 	change := a.handleAnswer(now, f, s)
 	d := Decision{Verdict: ToCaller, Reason: ReasonAnswer, Change: change, Flows: a.openCount, Busy: a.busyCount}
--- a/internal/passthrough/openflows.go
+++ b/internal/passthrough/openflows.go
@@ -43,8 +43,26 @@
 	}
 }
 
+// recordSpeech records a packet that shows that the upstream holds a flow of before. An upstream that restarts, or has never seen a
+// flow, returns its packets, or resets it.
+func (a *Agent) recordSpeech(now int64, f *agentFlow, s Segment) {
+	switch {
+	case s.Syn || s.Rst:
+	case f.confirmedBy(a.announcedMs):
+		a.spokeMs, a.returnedFlows = now, 0
+	case !f.held && now < startupGraceMs:
+		a.heldBeforehand = true // the upstream did not open this flow through this agent
+	}
+}
+
+// ReturnedFlows returns the number of open flows that the upstream has returned since it last sent a packet of one.
+func (a *Agent) ReturnedFlows() int { return a.returnedFlows }
+
+// SpokeMs returns when the upstream last sent a packet of a flow that was open before its last announcement.
+func (a *Agent) SpokeMs() int64 { return a.spokeMs }
+
 // NoteAnnouncement records an announcement of the current incarnation of the upstream.
-func (a *Agent) NoteAnnouncement(now int64) { a.announcedMs = now }
+func (a *Agent) NoteAnnouncement(now int64) { a.announcedMs, a.returnedFlows = now, 0 }
 
 func (f *agentFlow) openFlow(k Flow) OpenFlow { return OpenFlow{Flow: k, Acknowledged: f.acknowledged} }
 
@@ -83,6 +101,7 @@
 	}
 	clear(a.flows)
 	a.openCount, a.busyCount, a.endedFlows, a.announcedMs, a.halfOpen = 0, 0, nil, 0, nil
+	a.returnedFlows, a.spokeMs = 0, 0
 }
 
 // TakeOrphans returns the flows that were open at an earlier incarnation of the upstream, each once.
@@ -92,11 +111,12 @@
 	return out
 }
 
-// ResetOrphan decides about a flow of an earlier incarnation of the upstream. A reset makes the caller use another flow
+// ResetOrphan decides about a flow of an earlier incarnation of the upstream. It is not reset if the upstream held flows before this
+// agent started and has not restarted since: then the control VM had it from an announcement that another process sent. A reset makes the caller use another flow
 // for its next request. Without it that request would be lost unless it may be retried.
 func (a *Agent) ResetOrphan(o OpenFlow) (Segment, Decision) {
 	s := Segment{Flow: o.Flow, Ack: true, AckNo: o.Acknowledged}
-	if f := a.flows[o.Flow]; f != nil && f.held {
+	if f := a.flows[o.Flow]; f != nil && f.held || a.heldBeforehand {
 		return s, Decision{Verdict: Drop, Reason: ReasonKnown}
 	}
 	return s, Decision{Verdict: SendReset, Reason: ReasonOrphaned}
--- a/internal/passthrough/openflows_test.go
+++ b/internal/passthrough/openflows_test.go
@@ -120,3 +120,46 @@
 	_, ended = a.FlowChanges(false)
 	g.Expect(ended).To(gomega.ConsistOf(first))
 }
+
+// An agent that has started beside an upstream that lives must not reset flows that a control VM names as those of an earlier
+// incarnation: the upstream answered on a flow that it did not open through this agent, so it has not restarted since.
+func TestLiveUpstreamHasNoOrphans(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before func(a *Agent)
+		reset  bool
+	}{
+		{"nothing was heard of the upstream", func(*Agent) {}, true},
+		{"it answered on a flow of before", func(a *Agent) {
+			a.FromHost(100, Segment{Flow: caller(8), Ack: true, Data: 10})
+		}, false},
+		{"it opened a flow", func(a *Agent) { openEstablishedFlow(a, 100, caller(8), 7) }, true},
+		{"it returned a packet", func(a *Agent) {
+			a.FromHost(100, Segment{Flow: caller(8), Ack: true, Bounced: true})
+		}, true},
+		{"it answered on a flow of before, and has restarted since", func(a *Agent) {
+			a.FromHost(100, Segment{Flow: caller(8), Ack: true, Data: 10})
+			a.SetUpstream(200, Upstream{Present: true, Service: "s", Active: true}, true)
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := newAgentWithUpstream()
+			c.before(a)
+			_, d := a.ResetOrphan(OpenFlow{Flow: caller(7), Acknowledged: 5})
+			gomega.NewWithT(t).Expect(d.Verdict == SendReset).To(gomega.Equal(c.reset))
+		})
+	}
+}
+
+// An upstream whose announcements are late or refused is not gone: while it sends packets, its agent must be searched for flows,
+// or they count as held nowhere.
+func TestUpstreamThatSendsIsNotVacant(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := NewAgent(tunnel(1), "d")
+	g.Expect(a.Vacant(startupGraceMs)).To(gomega.BeTrue())
+	a.FromHost(100, Segment{Flow: caller(7), Ack: true, Bounced: true})
+	g.Expect(a.Vacant(startupGraceMs)).To(gomega.BeFalse())
+	a.SetUpstream(3000, Upstream{Present: true, Service: "s"}, false)
+	a.SetUpstream(4000, Upstream{}, false)
+	g.Expect(a.Vacant(4000)).To(gomega.BeTrue(), "it said that it ends")
+}
--- a/internal/passthrough/relay.go
+++ b/internal/passthrough/relay.go
@@ -47,6 +47,9 @@
 	h, passed := Forward{}, false
 	if f := a.flows[s.Flow]; f != nil {
 		h, passed = f.header, f.relayed
+		if f.confirmedBy(a.announcedMs) {
+			a.returnedFlows++
+		}
 		a.removeFlow(s.Flow, f)
 	}
 	if passed {
