--- a/internal/forwarder/agent.go
+++ b/internal/forwarder/agent.go
@@ -102,8 +102,9 @@
 	now := time.Now()
 	before := a.tracker.Upstream(now)
 	earlier, _ := a.tracker.Last()
+	e := a.machine.Evidence()
 	a.tracker.Evidence = upstream.Evidence{
-		Returned: a.machine.ReturnedFlows(), SpokeAt: a.started.Add(time.Duration(a.machine.SpokeMs()) * time.Millisecond),
+		Returned: e.Returned, Closed: e.Closed, Held: e.Held, SpokeAt: a.started.Add(time.Duration(e.SpokeMs) * time.Millisecond),
 	}
 	outcome := a.tracker.Announce(now, n)
 	after := a.tracker.Upstream(now)
@@ -122,7 +123,7 @@
 	if before.Active != after.Active || before.Service != after.Service || outcome != upstream.Accepted {
 		_ = a.cfg.Logger.Log("event", "upstream_announced", "upstream", n.ID, "service", n.Service, "sequence", n.Sequence,
 			"born", n.Born, "draining", n.Draining, "outcome", outcome, "active", after.Active, "known", earlier.ID,
-			"known_born", earlier.Born, "returned_flows", a.tracker.Evidence.Returned)
+			"known_born", earlier.Born, "returned_flows", e.Returned, "closed_flows", e.Closed, "held_flows", e.Held)
 		a.client.Wake()
 	}
 	return outcome
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -73,6 +73,7 @@
 
 	announcedMs    int64 // last announcement of the current incarnation of the upstream
 	returnedFlows  int   // open flows that the upstream has returned since it last sent a packet of one or announced itself
+	closedFlows    int   // the same for flows that the upstream has closed or reset
 	spokeMs        int64 // when the upstream last sent a packet of a flow that was open before its last announcement
 	heard          bool  // the upstream has sent or returned a packet
 	heldBeforehand bool  // the upstream held a flow when this agent started
--- a/internal/passthrough/openflows.go
+++ b/internal/passthrough/openflows.go
@@ -44,25 +44,44 @@
 }
 
 // recordSpeech records a packet that shows that the upstream holds a flow of before. An upstream that restarts, or has never seen a
-// flow, returns its packets, or resets it.
+// flow, returns its packets or resets it.
 func (a *Agent) recordSpeech(now int64, f *agentFlow, s Segment) {
 	switch {
-	case s.Syn || s.Rst:
+	case s.Syn:
+	case s.Rst || s.Fin && s.Data == 0:
+		if f.confirmedBy(a.announcedMs) {
+			a.closedFlows++
+		}
 	case f.confirmedBy(a.announcedMs):
-		a.spokeMs, a.returnedFlows = now, 0
+		a.spokeMs, a.returnedFlows, a.closedFlows = now, 0, 0
 	case !f.held && now < startupGraceMs:
 		a.heldBeforehand = true // the upstream did not open this flow through this agent
 	}
 }
 
-// ReturnedFlows returns the number of open flows that the upstream has returned since it last sent a packet of one.
-func (a *Agent) ReturnedFlows() int { return a.returnedFlows }
+// Evidence is what the packets of the upstream tell about its process. Only flows count that were open before its last
+// announcement.
+type Evidence struct {
+	Returned, Closed int   // flows that it has returned or closed since it last sent another packet of one or announced itself
+	Held             int   // flows that are still open
+	SpokeMs          int64 // when it last sent a packet of one
+}
 
-// SpokeMs returns when the upstream last sent a packet of a flow that was open before its last announcement.
-func (a *Agent) SpokeMs() int64 { return a.spokeMs }
+// Evidence returns what the packets of the upstream tell about its process.
+func (a *Agent) Evidence() Evidence {
+	e := Evidence{Returned: a.returnedFlows, Closed: a.closedFlows, SpokeMs: a.spokeMs}
+	for _, f := range a.flows {
+		if f.confirmedBy(a.announcedMs) {
+			e.Held++
+		}
+	}
+	return e
+}
 
 // NoteAnnouncement records an announcement of the current incarnation of the upstream.
-func (a *Agent) NoteAnnouncement(now int64) { a.announcedMs, a.returnedFlows = now, 0 }
+func (a *Agent) NoteAnnouncement(now int64) {
+	a.announcedMs, a.returnedFlows, a.closedFlows = now, 0, 0
+}
 
 func (f *agentFlow) openFlow(k Flow) OpenFlow { return OpenFlow{Flow: k, Acknowledged: f.acknowledged} }
 
@@ -101,7 +120,7 @@
 	}
 	clear(a.flows)
 	a.openCount, a.busyCount, a.endedFlows, a.announcedMs, a.halfOpen = 0, 0, nil, 0, nil
-	a.returnedFlows, a.spokeMs = 0, 0
+	a.returnedFlows, a.closedFlows, a.spokeMs = 0, 0, 0
 }
 
 // TakeOrphans returns the flows that were open at an earlier incarnation of the upstream, each once.
--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"testing"
 	"time"
 
@@ -78,8 +79,9 @@
 // announce passes an announcement to the agent, as package forwarder does.
 func (m *model) announce(a upstream.Announcement) {
 	earlier, _ := m.tracker.Last()
+	e := m.machine.Evidence()
 	m.tracker.Evidence = upstream.Evidence{
-		Returned: m.machine.ReturnedFlows(), SpokeAt: start.Add(time.Duration(m.machine.SpokeMs()) * time.Millisecond),
+		Returned: e.Returned, Closed: e.Closed, Held: e.Held, SpokeAt: start.Add(time.Duration(e.SpokeMs) * time.Millisecond),
 	}
 	outcome := m.tracker.Announce(m.at(), a)
 	m.machine.SetUpstream(m.now, m.tracker.Upstream(m.at()), outcome == upstream.Restarted)
@@ -123,6 +125,17 @@
 	m.machine.FromHost(m.now, answer)
 }
 
+// flowsOfHost returns the flows that the live process holds, in a fixed order.
+func (m *model) flowsOfHost() iter.Seq[passthrough.Flow] {
+	return func(yield func(passthrough.Flow) bool) {
+		for n := 1; n <= m.flows; n++ {
+			if f := m.flow(n); m.host != nil && m.host.flows[f] && !yield(f) {
+				return
+			}
+		}
+	}
+}
+
 func (m *model) flow(n int) passthrough.Flow {
 	return passthrough.Flow{
 		Caller: passthrough.Endpoint{IP: [4]byte{100, 64, 0, 1}, Port: uint16(n + 1)}, Front: modelFront,
@@ -164,7 +177,7 @@
 
 // event makes one random event.
 func (m *model) event() {
-	switch kind := rapid.SampledFrom([]string{"open", "open", "use", "use", "use", "odd", "odd", "late", "crash", "end", "drain", "agent"}).Draw(m.t, "event"); kind {
+	switch kind := rapid.SampledFrom([]string{"open", "open", "use", "use", "use", "odd", "odd", "late", "reset", "crash", "end", "drain", "agent"}).Draw(m.t, "event"); kind {
 	case "open":
 		m.flows++
 		f := m.flow(m.flows)
@@ -197,7 +210,19 @@
 			m.announce(m.late[len(m.late)-1])
 			m.late = m.late[:len(m.late)-1]
 		}
+	case "reset":
+		for f := range m.flowsOfHost() {
+			if rapid.IntRange(0, 3).Draw(m.t, "is reset") == 0 {
+				delete(m.host.flows, f)
+				m.machine.FromHost(m.now, passthrough.Segment{Flow: f, Rst: true})
+			}
+		}
 	case "crash", "end":
+		for f := range m.flowsOfHost() {
+			if m.flows%3 > 0 { // some processes close or reset their flows when they end
+				m.machine.FromHost(m.now, passthrough.Segment{Flow: f, Rst: m.flows%3 == 1, Fin: m.flows%3 == 2, Ack: true})
+			}
+		}
 		if m.host != nil && kind == "end" {
 			m.tracker.End(m.host.id)
 			m.machine.SetUpstream(m.now, m.tracker.Upstream(m.at()), false)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -48,13 +48,15 @@
 	// Returned is the number of open flows whose packets the upstream has returned since it last sent one of an open flow or
 	// announced itself.
 	Returned int
+	Closed   int       // the same for open flows that the upstream has closed or reset
+	Held     int       // flows that were open before its last announcement and still are
 	SpokeAt  time.Time // when the upstream last sent a packet of a flow that was open before its last announcement
 }
 
 const (
-	// provenByReturned is the number of returned flows that prove the end of a process. A single one may have been dropped by a
-	// process that lives.
-	provenByReturned = 2
+	// provenByFlows is the number of returned or closed flows that proves the end of a process. A single one may have been dropped
+	// by a process that lives.
+	provenByFlows = 2
 	// readLag is how late a packet of an ended process may be read: the announcements of the next one arrive at another socket.
 	readLag = 500 * time.Millisecond
 	// overdueDivisor is the divisor of SilenceTimeout, three intervals of announcements, that gives the time after which an
@@ -68,7 +70,7 @@
 // the earlier one. The invariant: no announcement alone ends the flows of a process that lives. A later incarnation replaces the
 // known one
 //   - after the known one said that it ends;
-//   - if the upstream returned the packets of flows that it held;
+//   - if the upstream returned the packets of flows that it held, or closed all that it held;
 //   - if it repeats its announcement while one of the known incarnation is overdue.
 //
 // The zero value has no upstream. It is not safe for concurrent use.
@@ -131,7 +133,8 @@
 func (t *Tracker) proven(now time.Time, a Announcement) bool {
 	repeated := t.repeats(now, a)
 	overdue := now.Sub(t.lastAnnounced) > t.SilenceTimeout/overdueDivisor
-	return t.ended || t.Evidence.Returned >= provenByReturned || repeated && overdue
+	e := t.Evidence
+	return t.ended || e.Returned >= provenByFlows || e.Closed >= provenByFlows && e.Held == 0 || repeated && overdue
 }
 
 // livesOn reports whether the upstream has sent packets of earlier flows since the other incarnation announced itself.
