Count an upstream as present only while it sends packets or announces itself

If the upstream then crashed before it announced itself to a restarted agent and did not come back, each search that visited the agent was inconclusive, and callers of lost flows were told nothing.

Change: the grace period begins anew with each packet. The fields of Authority that a mutex guards stand together.

TestUpstreamThatSendsIsNotVacant fails without it (its new expectation).

--- a/internal/authority/authority.go
+++ b/internal/authority/authority.go
@@ -48,14 +48,13 @@
 	machine *declared.Machine
 	group   *group.Group
 	store   *roster.Store
-
-	contactsMu sync.Mutex
-	contacts   *roster.Contacts
-	seeds      []netip.AddrPort
-
-	flows *openflows.Registry
+	flows   *openflows.Registry
 
 	instruments *instruments
+
+	contactsMu sync.Mutex // guards the fields below
+	contacts   *roster.Contacts
+	seeds      []netip.AddrPort // of the current settings
 }
 
 // New returns an authority. Run starts it.
--- a/internal/passthrough/agent.go
+++ b/internal/passthrough/agent.go
@@ -75,7 +75,7 @@
 	returnedFlows  int   // open flows that the upstream has returned since it last sent a packet of one or announced itself
 	closedFlows    int   // the same for flows that the upstream has closed or reset
 	spokeMs        int64 // when the upstream last sent a packet of a flow that was open before its last announcement
-	heard          bool  // the upstream has sent or returned a packet
+	heardMs        int64 // when the upstream last sent or returned a packet
 	heldBeforehand bool  // the upstream held a flow when this agent started
 	outcomes       outcomes
 	takenHealth    Health // health at the last TakeHealthChange
@@ -154,10 +154,10 @@
 	return slices.SortedFunc(maps.Keys(seen), compareEndpoints)
 }
 
-// Vacant reports whether the VM has no upstream: it has ended, or none has announced itself or sent a packet within the grace
-// period after the start of the agent.
+// Vacant reports whether the VM has no upstream: it has ended, or none has announced itself or sent a packet for the grace period,
+// which begins with the start of the agent.
 func (a *Agent) Vacant(now int64) bool {
-	return !a.upstream.Present && (a.upstreamEnded || now >= startupGraceMs && !a.heard)
+	return !a.upstream.Present && (a.upstreamEnded || now-a.heardMs >= startupGraceMs)
 }
 
 // accepts reports whether the upstream may take a new flow according to the newer one of two declarations: the agent's
@@ -255,7 +255,7 @@
 // FromHost decides about a packet that the upstream sent or returned. The flow of s is always the caller's view.
 func (a *Agent) FromHost(now int64, s Segment) Decision {
 	a.abandonHalfOpen(now)
-	a.heard = true
+	a.heardMs = now
 	if s.Bounced {
 		return a.handleBounced(now, s)
 	}
--- a/internal/passthrough/openflows.go
+++ b/internal/passthrough/openflows.go
@@ -130,9 +130,9 @@
 	return out
 }
 
-// ResetOrphan decides about a flow of an earlier incarnation of the upstream. It is not reset if the upstream held flows before this
-// agent started and has not restarted since: then the control VM had it from an announcement that another process sent. A reset makes the caller use another flow
-// for its next request. Without it that request would be lost unless it may be retried.
+// ResetOrphan decides about a flow of an earlier incarnation of the upstream. A reset makes the caller use another flow for its next
+// request; without it that request would be lost unless it may be retried. If the upstream held flows before this agent started and
+// has not restarted since, no incarnation of it has ended, and nothing is reset.
 func (a *Agent) ResetOrphan(o OpenFlow) (Segment, Decision) {
 	s := Segment{Flow: o.Flow, Ack: true, AckNo: o.Acknowledged}
 	if f := a.flows[o.Flow]; f != nil && f.held || a.heldBeforehand {
--- a/internal/passthrough/openflows_test.go
+++ b/internal/passthrough/openflows_test.go
@@ -159,6 +159,7 @@
 	g.Expect(a.Vacant(startupGraceMs)).To(gomega.BeTrue())
 	a.FromHost(100, Segment{Flow: caller(7), Ack: true, Bounced: true})
 	g.Expect(a.Vacant(startupGraceMs)).To(gomega.BeFalse())
+	g.Expect(a.Vacant(100+startupGraceMs)).To(gomega.BeTrue(), "it has ended without a notice")
 	a.SetUpstream(3000, Upstream{Present: true, Service: "s"}, false)
 	a.SetUpstream(4000, Upstream{}, false)
 	g.Expect(a.Vacant(4000)).To(gomega.BeTrue(), "it said that it ends")
