Soak: replacements in series, long cuts after replaced seeds, two lost disks, odd reports

Control VMs stayed for the whole run, seeds never changed, a faulty wire lasted three seconds at most and hit all callers of a control VM alike, and nobody but hosts reported to agents.

Change: a series replaces one to three control VMs (the successor before or after, with a signal or a kill), writes other seeds and tells half of the processes, and then takes two disks at once or cuts a control VM off from the others for 14 s; the proxies tell the calls of control VMs from those of entries and agents. Odd reports, whole or without one field, go to agents of live hosts, which counts as planned: no flow may be lost. The site has spare control machines; the last line of a run names its faults.

Tests: TestPartition; TestWires and TestRefusingWireResets give the proxy an empty partition and are otherwise unchanged.

--- a/soak/main.go
+++ b/soak/main.go
@@ -19,6 +19,7 @@
 	Edges   int           `long:"edges" default:"3" description:"entry processes"`
 	Sides   int           `long:"sides" default:"6" description:"agent processes"`
 	Cores   int           `long:"cores" default:"5" description:"control processes"`
+	Spares  int           `long:"spares" default:"4" description:"control processes that replace others during the run"`
 	Callers int           `long:"callers" default:"6" description:"callers; each keeps two flows open"`
 	Loss    float64       `long:"loss" default:"0.002" description:"share of callers' packets that get lost"`
 	Network byte          `long:"network" default:"90" description:"second byte of the loopback addresses"`
@@ -64,8 +65,8 @@
 	}
 	fmt.Printf("seed %d: %d violations in %.0f s\n", o.Seed, violations, time.Since(started).Seconds())
 	if violations > 0 {
-		fmt.Printf("again: go run ./soak --seed %d --seconds %d --edges %d --sides %d --cores %d --callers %d\n",
-			o.Seed, o.Seconds, o.Edges, o.Sides, o.Cores, o.Callers)
+		fmt.Printf("again: go run ./soak --seed %d --seconds %d --edges %d --sides %d --cores %d --spares %d --callers %d\n",
+			o.Seed, o.Seconds, o.Edges, o.Sides, o.Cores, o.Spares, o.Callers)
 		os.Exit(exitViolation)
 	}
 }
--- a/soak/outage.go
+++ b/soak/outage.go
@@ -28,6 +28,7 @@
 	s.faults.Wait()
 	power := s.random.IntN(2) == 0
 	away := time.Duration(s.random.IntN(1500)) * time.Millisecond
+	s.injected["outage"]++
 	s.site.Watch.Note("outage, with the hosts %t", power)
 	s.all(func(p *process) error { p.stop(syscall.SIGKILL); return nil })
 	if power {
@@ -56,6 +57,10 @@
 	failed := make(chan error, len(s.processes))
 	var running sync.WaitGroup
 	for _, p := range s.processes {
+		if p.retired.Load() || p.machine.Spare && p.absent.Load() {
+			failed <- nil
+			continue
+		}
 		running.Add(1)
 		go func() {
 			defer running.Done()
--- a/soak/process.go
+++ b/soak/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,6 +23,9 @@
 	log     *os.File
 	site    *standin.Site
 
+	absent  atomic.Bool // not started yet, or stopped for good
+	retired atomic.Bool // stopped for good
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
@@ -33,7 +37,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("log of %s: %w", m.Name, err)
 	}
-	return &process{machine: m, daemon: daemon, log: f, site: s}, nil
+	p := &process{machine: m, daemon: daemon, log: f, site: s}
+	p.absent.Store(true)
+	return p, nil
 }
 
 func (p *process) start() error {
@@ -46,6 +52,7 @@
 		return fmt.Errorf("start %s: %w", p.machine.Name, err)
 	}
 	p.command, p.expects = command, false
+	p.absent.Store(false)
 	p.ended = make(chan struct{})
 	go p.wait(command, p.ended)
 	return nil
@@ -72,8 +79,18 @@
 	_ = p.command.Process.Signal(s) // it may have ended just now
 }
 
+// retire stops the process for good.
+func (p *process) retire(s syscall.Signal) {
+	p.retired.Store(true)
+	p.stop(s)
+	p.absent.Store(true)
+}
+
 // stop sends a signal that ends the process and waits for that, killing it after the platform's grace time.
 func (p *process) stop(s syscall.Signal) {
+	if p.absent.Load() {
+		return
+	}
 	p.signal(s)
 	select {
 	case <-p.ended:
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -31,6 +31,9 @@
 type proxy struct {
 	listener net.Listener
 	target   netip.AddrPort
+	machine  string
+
+	partition *partition
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -39,13 +42,14 @@
 	closed  bool
 }
 
-func newProxy(m *standin.Machine) (*proxy, error) {
+func newProxy(m *standin.Machine, c *partition) (*proxy, error) {
 	listener, err := net.Listen("tcp4", netip.AddrPortFrom(m.IP, standin.CallPort).String())
 	if err != nil {
 		return nil, fmt.Errorf("proxy of %s: %w", m.Name, err)
 	}
 	p := &proxy{
 		listener: listener, target: netip.AddrPortFrom(m.Bind, standin.CallPort), state: wireGood, open: map[net.Conn]struct{}{},
+		machine: m.Name, partition: c,
 	}
 	p.changed = sync.NewCond(&p.mu)
 	go p.accept()
@@ -108,13 +112,26 @@
 	if !p.keep(process) {
 		return
 	}
+	calls, from, err := firstCall(caller)
+	if err != nil {
+		return // the caller has given up
+	}
 	go func() {
-		p.pump(process, caller, false)
+		p.pump(process, caller, from, false)
 		_ = caller.Close()
 	}()
-	p.pump(caller, process, true)
+	p.pump(prefixed{caller, calls}, process, from, true)
+}
+
+// prefixed is a connection whose first bytes were read already.
+type prefixed struct {
+	net.Conn
+	in io.Reader
 }
 
+// Read implements net.Conn.
+func (c prefixed) Read(b []byte) (int, error) { return c.in.Read(b) }
+
 // keep remembers a connection for resets. It reports whether the wire takes connections.
 func (p *proxy) keep(c net.Conn) bool {
 	p.mu.Lock()
@@ -127,11 +144,16 @@
 }
 
 // pump copies data as the wire allows until an end closes.
-func (p *proxy) pump(from, to net.Conn, calls bool) {
+// Data between control VMs that are cut off from each other is lost, and its connection stays silent.
+func (p *proxy) pump(from, to net.Conn, caller string, calls bool) {
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
+			if p.partition.blocked(caller, p.machine) {
+				_, _ = io.Copy(io.Discard, from) // until an end gives up
+				return
+			}
 			if !p.pass(calls) {
 				_ = to.Close() // a connection that has lost data never goes on
 				return
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -8,8 +9,11 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/plantainseam/plantainseam/platform/standin"
+	"github.com/plantainseam/plantainseam/rpc/consensuspb"
+	"github.com/plantainseam/plantainseam/rpc/rosterpb"
 )
 
 // A fault that does nothing would let the soak pass for the wrong reason: each wire must do to connections what it says.
@@ -41,7 +45,7 @@
 		}
 	}()
 	defer func() { _ = echo.Close() }()
-	p, err := newProxy(m)
+	p, err := newProxy(m, &partition{})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer p.close()
 
@@ -86,7 +90,7 @@
 	sink, err := net.Listen("tcp4", netip.AddrPortFrom(m.Bind, standin.CallPort).String())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer func() { _ = sink.Close() }()
-	p, err := newProxy(m)
+	p, err := newProxy(m, &partition{})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	defer p.close()
 	conn, err := net.Dial("tcp4", p.listener.Addr().String())
@@ -97,3 +101,39 @@
 	_, err = conn.Read(make([]byte, 1))
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// A partition must lose what control VMs that are cut off say to others and hear from them, and nothing else.
+func TestPartition(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &partition{off: map[string]bool{}}
+	c.set(&standin.Machine{Name: "core-4"}, true)
+	for _, call := range []struct {
+		name    string
+		path    string
+		message proto.Message
+		to      string
+		blocked bool
+	}{
+		{"exchange from the one that is cut off", "Exchange", &rosterpb.ExchangeRequest{Self: &rosterpb.Record{Address: 127<<24 | 90<<16 | 1<<8 | 4}}, "core-1", true},
+		{"exchange with it", "Exchange", &rosterpb.ExchangeRequest{Self: &rosterpb.Record{Address: 127<<24 | 90<<16 | 1<<8 | 2}}, "core-4", true},
+		{"exchange between others", "Exchange", &rosterpb.ExchangeRequest{Self: &rosterpb.Record{Address: 127<<24 | 90<<16 | 1<<8 | 2}}, "core-1", false},
+		{"vote of the one that is cut off", "Step", &consensuspb.StepRequest{From: "core-4-0d3c"}, "core-1", true},
+		{"vote of another", "Step", &consensuspb.StepRequest{From: "core-2-0d3c"}, "core-1", false},
+		{"request to join", "Join", &rosterpb.JoinRequest{Name: "core-4"}, "core-1", true},
+		{"introduction to it", "Introduce", &rosterpb.IntroduceRequest{}, "core-4", true},
+		{"report of an agent to it", "Sync", &rosterpb.SyncRequest{}, "core-4", false},
+	} {
+		body, err := proto.Marshal(call.message)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		near, far := net.Pipe()
+		text := fmt.Sprintf("POST /twirp/x/%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", call.path, len(body), body)
+		go func() { _, _ = near.Write([]byte(text)) }()
+		all, from, err := firstCall(far)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), call.name)
+		g.Expect(c.blocked(from, call.to)).To(gomega.Equal(call.blocked), call.name)
+		_ = near.Close()
+		seen, err := io.ReadAll(all)
+		g.Expect(err).NotTo(gomega.HaveOccurred(), call.name)
+		g.Expect(string(seen)).To(gomega.Equal(text), call.name)
+	}
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -30,8 +30,10 @@
 	processes map[string]*process
 	proxies   map[string]*proxy // by core machine
 	datagrams *datagrams
+	partition *partition
 	random    *rand.Rand
-	busy      sync.Map // machines with a fault under way
+	injected  map[string]int // faults so far, by name; used by play only
+	busy      sync.Map       // machines with a fault under way
 	cores     sync.Mutex
 	faults    sync.WaitGroup
 }
@@ -57,14 +59,14 @@
 // newSoak starts the processes of a site whose files are in the folder.
 func newSoak(o options, folder string) (*soak, error) {
 	site, err := standin.New(standin.Config{
-		Folder: folder, Network: o.Network, Edges: o.Edges, Sides: o.Sides, Cores: o.Cores, Callers: o.Callers, Loss: o.Loss,
+		Folder: folder, Network: o.Network, Edges: o.Edges, Sides: o.Sides, Cores: o.Cores, Spares: o.Spares, Callers: o.Callers, Loss: o.Loss,
 		Proxied: true, Model: o.Model,
 	})
 	if err != nil {
 		return nil, err
 	}
 	s := &soak{options: o, site: site, processes: map[string]*process{}, proxies: map[string]*proxy{},
-		random: rand.New(rand.NewPCG(o.Seed, 1))}
+		partition: &partition{off: map[string]bool{}}, injected: map[string]int{}, random: rand.New(rand.NewPCG(o.Seed, 1))}
 	if s.datagrams, err = newDatagrams(site.Machines); err != nil {
 		s.end()
 		return nil, err
@@ -73,7 +75,7 @@
 		if m.Class != "core" {
 			continue
 		}
-		if s.proxies[m.Name], err = newProxy(m); err != nil {
+		if s.proxies[m.Name], err = newProxy(m, s.partition); err != nil {
 			s.end()
 			return nil, err
 		}
@@ -82,7 +84,9 @@
 		p, err := newProcess(o.Daemon, folder, site, m)
 		if err == nil {
 			s.processes[m.Name] = p
-			err = p.start()
+			if !m.Spare {
+				err = p.start()
+			}
 		}
 		if err != nil {
 			s.end()
@@ -208,7 +212,10 @@
 		{"half wire", "core", rewire(wireHalf), false}, {"refusing wire", "core", rewire(wireRefusing), false},
 		{"lossy datagrams", "edge", disturb(lossy), false}, {"late datagrams", "edge", disturb(late), false}, {"deaf", "edge", disturb(deaf), false},
 		{"lossy datagrams", "side", disturb(lossy), false}, {"late datagrams", "side", disturb(late), false}, {"mute", "side", disturb(mute), false},
-		{"failing host", "side", s.failHost, true},
+		{"failing host", "side", s.failHost, true}, {"odd report", "side", s.oddReport(s.random.Uint64()), true},
+		{"odd report", "side", s.oddReport(s.random.Uint64()), true},
+		{"series", "core", s.series(rand.New(rand.NewPCG(s.random.Uint64(), 2))), false},
+		{"series", "core", s.series(rand.New(rand.NewPCG(s.random.Uint64(), 2))), false},
 	}
 }
 
@@ -220,13 +227,7 @@
 // wipe takes a control process and its disk away.
 func (s *soak) wipe(p *process) error {
 	p.stop(syscall.SIGKILL)
-	if err := os.RemoveAll(p.machine.DataDir); err != nil {
-		return err
-	}
-	if err := os.MkdirAll(p.machine.DataDir, 0o755); err != nil {
-		return err
-	}
-	if err := p.start(); err != nil {
+	if err := p.startBlank(); err != nil {
 		return err
 	}
 	time.Sleep(catchUp)
@@ -251,6 +252,15 @@
 	return nil
 }
 
+// oddReport sends the agent of a host that goes on a report of another process: one that lacks a field, or a whole one.
+func (s *soak) oddReport(choice uint64) func(p *process) error {
+	return func(p *process) error {
+		s.site.Host(p.machine).OddReport(choice)
+		time.Sleep(2 * time.Second)
+		return nil
+	}
+}
+
 func (s *soak) drainHost(p *process) error {
 	s.site.Host(p.machine).Drain()
 	time.Sleep(5 * time.Second)
@@ -270,9 +280,13 @@
 		if m.Class != f.class {
 			continue
 		}
+		p := s.processes[m.Name]
+		if p.absent.Load() {
+			continue
+		}
 		all++
 		if _, busy := s.busy.Load(m.Name); !busy {
-			free = append(free, s.processes[m.Name])
+			free = append(free, p)
 		}
 	}
 	if 2*len(free) <= all {
@@ -284,6 +298,7 @@
 	}
 	s.busy.Store(p.machine.Name, true)
 	s.faults.Add(1)
+	s.injected[f.name]++
 	s.site.Watch.Note("%s %s", f.name, p.machine.Name)
 	ends := func() {}
 	if !f.planned {
@@ -323,7 +338,7 @@
 // report prints what was seen and keeps the logs of a run with violations.
 func (s *soak) report(folder string) (int, error) {
 	violations := s.site.Watch.Violations()
-	fmt.Printf("seed %d: %v\n", s.Seed, s.site.Watch.Counts())
+	fmt.Printf("seed %d: %v, faults %v\n", s.Seed, s.site.Watch.Counts(), s.injected)
 	for _, v := range violations {
 		fmt.Printf("  %8.3f  %s: %s\n", v.At.Seconds(), strings.ToUpper(v.Rule), v.What)
 	}
