--- a/review/_cases/platform/client.go
+++ b/review/_cases/platform/client.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 )
@@ -143,4 +144,106 @@
 	return "", "timed out"
 }
 
+// clientFlow is an open flow of a client, for several requests.
+type clientFlow struct {
+	c       *client
+	id      flowID
+	hostSeq uint32
+	holder  string // host that answered the first request
+
+	mu      sync.Mutex
+	seq     uint32
+	reset   time.Time
+	answers chan string
+	done    chan struct{}
+}
+
+// openFlow opens a flow and sends a first request on it. It returns the reason if that fails.
+func (c *client) openFlow(front netip.AddrPort) (*clientFlow, string) {
+	c.mu.Lock()
+	c.port++
+	own := netip.AddrPortFrom(c.ip, c.port)
+	in := make(chan packet, 64)
+	c.flows[own] = in
+	c.mu.Unlock()
+	hostSeq, why := c.open(own, front, in, time.Now())
+	if why != "" {
+		return nil, why
+	}
+	f := &clientFlow{
+		c: c, id: flowID{own, front}, hostSeq: hostSeq, seq: uint32(own.Port()) + 1, answers: make(chan string, 64), done: make(chan struct{}),
+	}
+	go f.receive(in)
+	answer, why := f.request()
+	if answer == "" {
+		f.close()
+		return nil, why
+	}
+	f.holder, _, _ = strings.Cut(answer, " ")
+	return f, ""
+}
+
+func (f *clientFlow) close() {
+	f.mu.Lock()
+	f.c.write(packet{src: f.id.client, dst: f.id.front, flags: flagFin | flagAck, seq: f.seq, ack: f.hostSeq + 2})
+	f.mu.Unlock()
+	close(f.done)
+	f.c.mu.Lock()
+	defer f.c.mu.Unlock()
+	delete(f.c.flows, f.id.client)
+}
+
+func (f *clientFlow) receive(in <-chan packet) {
+	for {
+		select {
+		case <-f.done:
+			return
+		case p := <-in:
+			switch {
+			case p.flags&flagRst != 0 && !p.valid && p.seq-(f.hostSeq+1)+76_800 <= 2*76_800: // a reset of the system
+				f.mu.Lock()
+				if f.reset.IsZero() {
+					f.reset = time.Now()
+				}
+				f.mu.Unlock()
+			case len(p.data) > 0:
+				select {
+				case f.answers <- string(p.data):
+				default:
+				}
+			}
+		}
+	}
+}
+
+// request sends a request and repeats it until there is an answer.
+func (f *clientFlow) request() (answer, why string) {
+	f.mu.Lock()
+	seq := f.seq
+	data := []byte(fmt.Sprintf("%s/%d", f.id.client, seq))
+	f.seq += uint32(len(data))
+	f.mu.Unlock()
+	started, repeat := time.Now(), firstRepeat
+	for time.Since(started) < requestTime {
+		f.c.write(packet{src: f.id.client, dst: f.id.front, flags: flagAck, seq: seq, ack: f.hostSeq + 1, data: data})
+		select {
+		case answer := <-f.answers:
+			return answer, ""
+		case <-time.After(repeat):
+			repeat = min(2*repeat, longestRepeat)
+		}
+		if _, reset := f.resetAt(); reset {
+			return "", "reset"
+		}
+	}
+	return "", "timed out"
+}
+
+// resetAt returns when the system reset the flow, if it did.
+func (f *clientFlow) resetAt() (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reset, !f.reset.IsZero()
+}
+
 func (c *client) write(p packet) { _, _ = c.conn.WriteToUDPAddrPort(p.encode(), c.entry) }
--- a/review/_cases/platform/host.go
+++ b/review/_cases/platform/host.go
@@ -103,12 +103,8 @@
 	if h.draining {
 		state = "draining"
 	}
-	sequence := h.sequence
+	body, err := json.Marshal(h.reportFields(state))
 	h.mu.Unlock()
-	body, err := json.Marshal(map[string]any{
-		"service": h.m.service, "address": h.m.address(portApp), "zone": h.m.zone, "version": "v1", "concurrency": 3, "state": state,
-		"warmupLeftMs": 0, "sequence": sequence, "born": h.born,
-	})
 	if err != nil {
 		return // all values can be encoded
 	}
@@ -126,6 +122,14 @@
 	}
 }
 
+// reportFields returns the content of a report. The caller holds mu.
+func (h *host) reportFields(state string) map[string]any {
+	return map[string]any{
+		"service": h.m.service, "address": h.m.address(portApp), "zone": h.m.zone, "version": "v1", "concurrency": 3, "state": state,
+		"warmupLeftMs": 0, "sequence": h.sequence, "born": h.born,
+	}
+}
+
 func (h *host) receive() {
 	buf := make([]byte, 2048)
 	for {
--- /dev/null
+++ b/review/_cases/platform/late.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"syscall"
+	"time"
+)
+
+// Times of the late case.
+const (
+	lateRounds     = 4
+	lateFlows      = 36
+	lateFollow     = 5 * time.Second        // after the start of a host until it is followed and gets flows
+	lateReportAt   = 680 * time.Millisecond // after the start of the agent
+	lateIdle       = 4 * time.Second        // in which the clients send nothing
+	lateCatchUp    = 5 * time.Second        // after which a restarted process counts again
+	lateStartPause = 30 * time.Millisecond
+	lateSpacing    = 15 * time.Millisecond // between the first requests of two flows after the restart
+)
+
+// lateCase restarts an agent as planned work. Its host has replaced one that crashed before; a report of that one, which
+// was delayed, arrives after the restart. No open flow of the live host may be reset.
+func lateCase(s *site, trouble bool) (bool, error) {
+	var cores []*machine
+	for i, zone := range []string{"za", "za", "zb", "zc", "zd"} {
+		cores = append(cores, s.add("core", i+1, zone, ""))
+	}
+	entry := s.add("edge", 1, "za", "")
+	var sides []*machine
+	for i, zone := range []string{"za", "zb", "zc"} {
+		sides = append(sides, s.add("side", i+1, zone, "match"))
+	}
+	if err := s.startAll(); err != nil {
+		return false, err
+	}
+	hosts := map[*machine]*host{}
+	started := 0
+	startOn := func(m *machine) error {
+		started++
+		h, err := startHost(fmt.Sprintf("i-%d", started), m, s.record, nil)
+		hosts[m] = h
+		return err
+	}
+	for _, m := range sides {
+		if err := startOn(m); err != nil {
+			return false, err
+		}
+	}
+	front := netip.MustParseAddrPort("198.18.0.1:8080")
+	if err := s.declareFirst(manifest(1, route{"r-1", front, "match"})); err != nil {
+		return false, err
+	}
+	caller, err := newClient(s, entry)
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(lateFollow)
+	for round := range lateRounds {
+		m := sides[round%len(sides)]
+		dead := hosts[m]
+		dead.stop() // it crashes without a word
+		time.Sleep(time.Second)
+		if err := startOn(m); err != nil {
+			return false, err
+		}
+		time.Sleep(lateFollow)
+		broken, err := lateRound(s, caller, front, m, dead, hosts[m], trouble)
+		if err != nil || broken {
+			return broken, err
+		}
+		time.Sleep(lateCatchUp)
+	}
+	return false, nil
+}
+
+// lateRound restarts the agent of a machine and reports whether an open flow of its live host was reset.
+func lateRound(s *site, caller *client, front netip.AddrPort, m *machine, dead, live *host, trouble bool) (bool, error) {
+	var flows []*clientFlow
+	for range lateFlows {
+		f, why := caller.openFlow(front)
+		if f == nil {
+			s.record.note("a flow did not open: %s", why)
+			continue
+		}
+		defer f.close()
+		if f.holder == live.id {
+			flows = append(flows, f)
+		}
+	}
+	s.record.note("%d of the open flows are held by host %s on %s", len(flows), live.id, m.name)
+	if len(flows) == 0 {
+		return false, fmt.Errorf("%w: host %s got no flow", errCannotRun, live.id)
+	}
+	m.signal(syscall.SIGTERM)
+	if _, _, ended := m.wait(graceTime); !ended {
+		return false, fmt.Errorf("%w: %s did not end", errCannotRun, m.name)
+	}
+	time.Sleep(restartDelay)
+	live.afterReport(lateStartPause)
+	if err := s.start(m); err != nil {
+		return false, fmt.Errorf("%w: %w", errCannotRun, err)
+	}
+	began := time.Now()
+	s.record.note("%s starts again", m.name)
+	answered := make(chan string, len(flows))
+	for i, f := range flows {
+		go func() {
+			time.Sleep(time.Duration(i) * lateSpacing)
+			answer, why := f.request()
+			answered <- answer + why
+		}()
+	}
+	for range flows {
+		s.record.note("request on an open flow after the restart: %s", <-answered)
+	}
+	if trouble {
+		time.Sleep(time.Until(began.Add(lateReportAt)))
+		dead.reportLate()
+	}
+	time.Sleep(lateIdle)
+	broken := false
+	for _, f := range flows {
+		at, reset := f.resetAt()
+		if !reset || !live.holds(f.id) {
+			continue
+		}
+		broken = true
+		s.record.note("BROKEN: flow %s got a reset of the system at %.4f although host %s lives and holds it", f.id.client, s.record.at(at), live.id)
+	}
+	return broken, nil
+}
+
+// afterReport returns a moment after the next report of the host.
+func (h *host) afterReport(pause time.Duration) {
+	h.mu.Lock()
+	n := h.sequence
+	h.mu.Unlock()
+	for {
+		h.mu.Lock()
+		next := h.sequence > n
+		h.mu.Unlock()
+		if next {
+			time.Sleep(pause)
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// reportLate delivers the last report that a host sent before it crashed.
+func (h *host) reportLate() {
+	h.mu.Lock()
+	body, err := json.Marshal(h.reportFields("ready"))
+	h.mu.Unlock()
+	if err != nil {
+		return // all values can be encoded
+	}
+	status, _, err := exchange(time.Second, http.MethodPut, fmt.Sprintf("http://%s/api/instances/%s", h.m.address(portReports), h.id), body)
+	h.record.note("a delayed report of host %s, which has crashed, arrives at the agent of %s: status %d, error %v", h.id, h.m.name, status, err)
+}
+
+// holds reports whether the host lives and holds a flow as open.
+func (h *host) holds(f flowID) bool {
+	select {
+	case <-h.stopped:
+		return false
+	default:
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.flows[f] != nil && h.flows[f].open
+}
--- a/review/_cases/platform/main.go
+++ b/review/_cases/platform/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
 	"relay": relayCase,
 	"stop":  stopCase,
+	"late":  lateCase,
 }
 
 func main() { os.Exit(run()) }
