--- a/review/_cases/platform/host.go
+++ b/review/_cases/platform/host.go
@@ -42,6 +42,7 @@
 	mu       sync.Mutex
 	flows    map[flowID]*hostFlow
 	draining bool
+	delayed  bool // reports are held up on their way
 	sequence int
 	stopped  chan struct{}
 	drained  chan struct{} // closed when the draining was acknowledged
@@ -103,8 +104,14 @@
 	if h.draining {
 		state = "draining"
 	}
+	sequence := h.sequence
 	body, err := json.Marshal(h.reportFields(state))
+	delayed := h.delayed
 	h.mu.Unlock()
+	if delayed {
+		h.record.note("report %d of host %s is delayed", sequence, h.id)
+		return
+	}
 	if err != nil {
 		return // all values can be encoded
 	}
--- a/review/_cases/platform/main.go
+++ b/review/_cases/platform/main.go
@@ -20,9 +20,10 @@
 // cases are the scripted cases by name. Each returns whether the rule was broken. trouble is false for a run without the
 // disruption.
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
-	"relay": relayCase,
-	"stop":  stopCase,
-	"late":  lateCase,
+	"late":   lateCase,
+	"reborn": rebornCase,
+	"relay":  relayCase,
+	"stop":   stopCase,
 }
 
 func main() { os.Exit(run()) }
