--- a/review/_cases/platform/client.go
+++ b/review/_cases/platform/client.go
@@ -30,9 +30,10 @@
 
 // client opens flows from one address. It hands all its packets to one entry, as a router with a single entry does.
 type client struct {
-	ip    netip.Addr
-	entry netip.AddrPort
-	conn  *net.UDPConn
+	ip     netip.Addr
+	entry  netip.AddrPort
+	conn   *net.UDPConn
+	record *record
 
 	mu    sync.Mutex
 	flows map[netip.AddrPort]chan packet
@@ -45,7 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: client: %w", errCannotRun, err)
 	}
-	c := &client{ip: ip, entry: entry.addrPort(portPackets), conn: conn, flows: map[netip.AddrPort]chan packet{}, port: 2000}
+	c := &client{ip: ip, entry: entry.addrPort(portPackets), conn: conn, record: s.record, flows: map[netip.AddrPort]chan packet{}, port: 2000}
 	go c.receive()
 	return c, nil
 }
@@ -216,8 +217,15 @@
 	}
 }
 
-// request sends a request and repeats it until there is an answer.
+// request sends a request, repeats it until there is an answer, and records both.
 func (f *clientFlow) request() (answer, why string) {
+	sent := time.Now()
+	answer, why = f.exchange()
+	f.c.record.note("request on flow %s sent at %.4f: run and answered by %q %s", f.id.client, f.c.record.at(sent), answer, why)
+	return answer, why
+}
+
+func (f *clientFlow) exchange() (answer, why string) {
 	f.mu.Lock()
 	seq := f.seq
 	data := []byte(fmt.Sprintf("%s/%d", f.id.client, seq))
--- a/review/_cases/platform/late.go
+++ b/review/_cases/platform/late.go
@@ -105,16 +105,16 @@
 	}
 	began := time.Now()
 	s.record.note("%s starts again", m.name)
-	answered := make(chan string, len(flows))
+	answered := make(chan struct{}, len(flows))
 	for i, f := range flows {
 		go func() {
 			time.Sleep(time.Duration(i) * lateSpacing)
-			answer, why := f.request()
-			answered <- answer + why
+			f.request()
+			answered <- struct{}{}
 		}()
 	}
 	for range flows {
-		s.record.note("request on an open flow after the restart: %s", <-answered)
+		<-answered
 	}
 	if trouble {
 		time.Sleep(time.Until(began.Add(lateReportAt)))
@@ -125,6 +125,7 @@
 	for _, f := range flows {
 		at, reset := f.resetAt()
 		if !reset || !live.holds(f.id) {
+			s.record.note("flow %s: reset %t, held by host %s %t", f.id.client, reset, live.id, live.holds(f.id))
 			continue
 		}
 		broken = true
--- a/review/_cases/platform/site.go
+++ b/review/_cases/platform/site.go
@@ -77,6 +77,7 @@
 	folder   string
 	daemon   string
 	network  byte
+	reserved net.Listener // keeps other cases from the same network
 	machines []*machine
 	record   *record
 }
@@ -98,8 +99,7 @@
 		network := byte(100 + (os.Getpid()+i)%100)
 		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.255.254:%d", network, portControl))
 		if err == nil {
-			_ = l.Close()
-			return &site{folder: folder, daemon: daemon, network: network, record: r}, nil
+			return &site{folder: folder, daemon: daemon, network: network, reserved: l, record: r}, nil
 		}
 	}
 	return nil, fmt.Errorf("%w: no free loopback network", errCannotRun)
@@ -285,6 +285,7 @@
 			m.wait(5 * time.Second)
 		}
 	}
+	_ = s.reserved.Close()
 	_ = os.RemoveAll(s.folder)
 }
 
