--- a/review/_cases/platform/main.go
+++ b/review/_cases/platform/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(s *site, trouble bool) (broken bool, err error){
 	"late":   lateCase,
 	"reborn": rebornCase,
+	"handed": handedCase,
 	"relay":  relayCase,
 	"stop":   stopCase,
 }
@@ -45,6 +46,7 @@
 		r.note("%v", err)
 		return statusNotRun
 	}
+	defer s.stop() // also after a panic
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -60,7 +62,6 @@
 			_ = os.WriteFile(filepath.Join(keep, m.name+".log"), []byte(m.log()), 0o600)
 		}
 	}
-	s.stop()
 	switch {
 	case errors.Is(err, errCannotRun):
 		r.note("the case could not run: %v", err)
