--- a/review/_cases/platform/handed.go
+++ b/review/_cases/platform/handed.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -20,51 +19,22 @@
 // use all the while. Some seconds later its agent is restarted as planned work, while the clients pause. No open flow of the
 // live host may be reset.
 func handedCase(s *site, trouble bool) (bool, error) {
-	var cores []*machine
-	for i, zone := range []string{"za", "za", "zb", "zc", "zd"} {
-		cores = append(cores, s.add("core", i+1, zone, ""))
-	}
-	entry := s.add("edge", 1, "za", "")
-	var sides []*machine
-	for i, zone := range []string{"za", "zb", "zc"} {
-		sides = append(sides, s.add("side", i+1, zone, "match"))
-	}
-	if err := s.startAll(); err != nil {
-		return false, err
-	}
-	hosts := map[*machine]*host{}
-	started := 0
-	startOn := func(m *machine) error {
-		started++
-		h, err := startHost(fmt.Sprintf("i-%d", started), m, s.record, nil)
-		hosts[m] = h
-		return err
-	}
-	for _, m := range sides {
-		if err := startOn(m); err != nil {
-			return false, err
-		}
-	}
-	front := netip.MustParseAddrPort("198.18.0.1:8080")
-	if err := s.declareFirst(manifest(1, route{"r-1", front, "match"})); err != nil {
-		return false, err
-	}
-	caller, err := newClient(s, entry)
+	d, err := s.deploy("match", threeHosts, nil)
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(lateFollow)
 	for round := range handedRounds {
-		m := sides[round%len(sides)]
-		dead := hosts[m]
+		m := d.sides[round%len(d.sides)]
+		dead := d.hosts[m]
 		dead.delayNext()
 		dead.afterReport(0)
 		dead.stop() // it crashes without a word
 		time.Sleep(rebornPause)
-		if err := startOn(m); err != nil {
+		if err := d.startHost(m); err != nil {
 			return false, err
 		}
-		broken, err := handedRound(s, caller, front, m, dead, hosts[m], trouble)
+		broken, err := handedRound(d, m, dead, d.hosts[m], trouble)
 		if err != nil || broken {
 			return broken, err
 		}
@@ -74,7 +44,7 @@
 }
 
 // handedRound uses the flows of the live host, restarts its agent and reports whether one of them was reset.
-func handedRound(s *site, caller *client, front netip.AddrPort, m *machine, dead, live *host, trouble bool) (bool, error) {
+func handedRound(d *deployment, m *machine, dead, live *host, trouble bool) (bool, error) {
 	began := time.Now()
 	end := began.Add(handedBusy)
 	var flows []*clientFlow
@@ -84,7 +54,7 @@
 		users.Add(1)
 		go func() {
 			defer users.Done()
-			f, _ := caller.openFlow(front)
+			f, _ := d.client.openFlow(front)
 			if f == nil {
 				return
 			}
@@ -109,27 +79,27 @@
 	for _, f := range flows {
 		defer f.close()
 		if _, reset := f.resetAt(); reset {
-			s.record.note("flow %s was reset before the restart", f.id.client)
+			d.record.note("flow %s was reset before the restart", f.id.client)
 		}
 	}
-	s.record.note("%d flows are held by host %s on %s", len(flows), live.id, m.name)
+	d.record.note("%d flows are held by host %s on %s", len(flows), live.id, m.name)
 	m.signal(syscall.SIGTERM)
 	stopped := time.Now()
 	if _, _, ended := m.wait(graceTime); !ended {
 		return false, fmt.Errorf("%w: %s did not end", errCannotRun, m.name)
 	}
 	time.Sleep(restartDelay)
-	if err := s.start(m); err != nil {
+	if err := d.start(m); err != nil {
 		return false, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
-	s.record.note("%s starts again", m.name)
+	d.record.note("%s starts again", m.name)
 	time.Sleep(time.Until(stopped.Add(handedPause)))
 	broken := false
 	for _, f := range flows {
 		at, reset := f.resetAt()
 		if reset && at.After(stopped) && live.holds(f.id) {
 			broken = true
-			s.record.note("BROKEN: flow %s got a reset of the system at %.4f although host %s lives and holds it", f.id.client, s.record.at(at), live.id)
+			d.record.note("BROKEN: flow %s got a reset of the system at %.4f although host %s lives and holds it", f.id.client, d.record.at(at), live.id)
 		}
 	}
 	return broken, nil
--- a/review/_cases/platform/late.go
+++ b/review/_cases/platform/late.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"syscall"
 	"time"
 )
@@ -24,50 +23,21 @@
 // lateCase restarts an agent as planned work. Its host has replaced one that crashed before; a report of that one, which
 // was delayed, arrives after the restart. No open flow of the live host may be reset.
 func lateCase(s *site, trouble bool) (bool, error) {
-	var cores []*machine
-	for i, zone := range []string{"za", "za", "zb", "zc", "zd"} {
-		cores = append(cores, s.add("core", i+1, zone, ""))
-	}
-	entry := s.add("edge", 1, "za", "")
-	var sides []*machine
-	for i, zone := range []string{"za", "zb", "zc"} {
-		sides = append(sides, s.add("side", i+1, zone, "match"))
-	}
-	if err := s.startAll(); err != nil {
-		return false, err
-	}
-	hosts := map[*machine]*host{}
-	started := 0
-	startOn := func(m *machine) error {
-		started++
-		h, err := startHost(fmt.Sprintf("i-%d", started), m, s.record, nil)
-		hosts[m] = h
-		return err
-	}
-	for _, m := range sides {
-		if err := startOn(m); err != nil {
-			return false, err
-		}
-	}
-	front := netip.MustParseAddrPort("198.18.0.1:8080")
-	if err := s.declareFirst(manifest(1, route{"r-1", front, "match"})); err != nil {
-		return false, err
-	}
-	caller, err := newClient(s, entry)
+	d, err := s.deploy("match", threeHosts, nil)
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(lateFollow)
 	for round := range lateRounds {
-		m := sides[round%len(sides)]
-		dead := hosts[m]
+		m := d.sides[round%len(d.sides)]
+		dead := d.hosts[m]
 		dead.stop() // it crashes without a word
 		time.Sleep(time.Second)
-		if err := startOn(m); err != nil {
+		if err := d.startHost(m); err != nil {
 			return false, err
 		}
 		time.Sleep(lateFollow)
-		broken, err := lateRound(s, caller, front, m, dead, hosts[m], trouble)
+		broken, err := lateRound(d, m, dead, d.hosts[m], trouble)
 		if err != nil || broken {
 			return broken, err
 		}
@@ -77,12 +47,12 @@
 }
 
 // lateRound restarts the agent of a machine and reports whether an open flow of its live host was reset.
-func lateRound(s *site, caller *client, front netip.AddrPort, m *machine, dead, live *host, trouble bool) (bool, error) {
+func lateRound(d *deployment, m *machine, dead, live *host, trouble bool) (bool, error) {
 	var flows []*clientFlow
 	for range lateFlows {
-		f, why := caller.openFlow(front)
+		f, why := d.client.openFlow(front)
 		if f == nil {
-			s.record.note("a flow did not open: %s", why)
+			d.record.note("a flow did not open: %s", why)
 			continue
 		}
 		defer f.close()
@@ -90,7 +60,7 @@
 			flows = append(flows, f)
 		}
 	}
-	s.record.note("%d of the open flows are held by host %s on %s", len(flows), live.id, m.name)
+	d.record.note("%d of the open flows are held by host %s on %s", len(flows), live.id, m.name)
 	if len(flows) == 0 {
 		return false, fmt.Errorf("%w: host %s got no flow", errCannotRun, live.id)
 	}
@@ -100,11 +70,11 @@
 	}
 	time.Sleep(restartDelay)
 	live.afterReport(lateStartPause)
-	if err := s.start(m); err != nil {
+	if err := d.start(m); err != nil {
 		return false, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
 	began := time.Now()
-	s.record.note("%s starts again", m.name)
+	d.record.note("%s starts again", m.name)
 	answered := make(chan struct{}, len(flows))
 	for i, f := range flows {
 		go func() {
@@ -125,11 +95,11 @@
 	for _, f := range flows {
 		at, reset := f.resetAt()
 		if !reset || !live.holds(f.id) {
-			s.record.note("flow %s: reset %t, held by host %s %t", f.id.client, reset, live.id, live.holds(f.id))
+			d.record.note("flow %s: reset %t, held by host %s %t", f.id.client, reset, live.id, live.holds(f.id))
 			continue
 		}
 		broken = true
-		s.record.note("BROKEN: flow %s got a reset of the system at %.4f although host %s lives and holds it", f.id.client, s.record.at(at), live.id)
+		d.record.note("BROKEN: flow %s got a reset of the system at %.4f although host %s lives and holds it", f.id.client, d.record.at(at), live.id)
 	}
 	return broken, nil
 }
--- a/review/_cases/platform/reborn.go
+++ b/review/_cases/platform/reborn.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"net/netip"
 	"sync"
 	"time"
 )
@@ -21,51 +19,22 @@
 // and gets flows; then the delayed report arrives. No open flow of the live host may be reset. No process of the system is
 // disturbed.
 func rebornCase(s *site, trouble bool) (bool, error) {
-	var cores []*machine
-	for i, zone := range []string{"za", "za", "zb", "zc", "zd"} {
-		cores = append(cores, s.add("core", i+1, zone, ""))
-	}
-	entry := s.add("edge", 1, "za", "")
-	var sides []*machine
-	for i, zone := range []string{"za", "zb", "zc"} {
-		sides = append(sides, s.add("side", i+1, zone, "match"))
-	}
-	if err := s.startAll(); err != nil {
-		return false, err
-	}
-	hosts := map[*machine]*host{}
-	started := 0
-	startOn := func(m *machine) error {
-		started++
-		h, err := startHost(fmt.Sprintf("i-%d", started), m, s.record, nil)
-		hosts[m] = h
-		return err
-	}
-	for _, m := range sides {
-		if err := startOn(m); err != nil {
-			return false, err
-		}
-	}
-	front := netip.MustParseAddrPort("198.18.0.1:8080")
-	if err := s.declareFirst(manifest(1, route{"r-1", front, "match"})); err != nil {
-		return false, err
-	}
-	caller, err := newClient(s, entry)
+	d, err := s.deploy("match", threeHosts, nil)
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(lateFollow)
 	for round := range rebornRounds {
-		m := sides[round%len(sides)]
-		dead := hosts[m]
+		m := d.sides[round%len(d.sides)]
+		dead := d.hosts[m]
 		dead.delayNext()
 		dead.afterReport(0)
 		dead.stop() // it crashes without a word
 		time.Sleep(rebornPause)
-		if err := startOn(m); err != nil {
+		if err := d.startHost(m); err != nil {
 			return false, err
 		}
-		broken, err := rebornRound(s, caller, front, dead, hosts[m], trouble)
+		broken, err := rebornRound(d, dead, d.hosts[m], trouble)
 		if err != nil || broken {
 			return broken, err
 		}
@@ -75,7 +44,7 @@
 }
 
 // rebornRound opens flows, delivers the delayed report and reports whether an open flow of the live host was reset.
-func rebornRound(s *site, caller *client, front netip.AddrPort, dead, live *host, trouble bool) (bool, error) {
+func rebornRound(d *deployment, dead, live *host, trouble bool) (bool, error) {
 	began := time.Now()
 	var flows []*clientFlow
 	var mu sync.Mutex
@@ -84,7 +53,7 @@
 		opening.Add(1)
 		go func() {
 			defer opening.Done()
-			f, _ := caller.openFlow(front)
+			f, _ := d.client.openFlow(front)
 			if f == nil {
 				return
 			}
@@ -108,12 +77,12 @@
 		held++
 		if at, reset := f.resetAt(); reset && live.holds(f.id) {
 			broken = true
-			s.record.note("BROKEN: flow %s got a reset of the system at %.4f although host %s lives and holds it", f.id.client, s.record.at(at), live.id)
+			d.record.note("BROKEN: flow %s got a reset of the system at %.4f although host %s lives and holds it", f.id.client, d.record.at(at), live.id)
 		}
 	}
-	s.record.note("%d of %d flows are held by host %s on %s", held, len(flows), live.id, live.m.name)
+	d.record.note("%d of %d flows are held by host %s on %s", held, len(flows), live.id, live.m.name)
 	if held == 0 {
-		s.record.note("no flow reached the host in this round")
+		d.record.note("no flow reached the host in this round")
 	}
 	return broken, nil
 }
--- a/review/_cases/platform/relay.go
+++ b/review/_cases/platform/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -19,51 +18,21 @@
 	relayInterval = 15 * time.Second // between two rounds
 )
 
-var relayFront = netip.MustParseAddrPort("198.18.0.1:8080")
-
 // relayCase moves a route from one service to the other and back. Each time, a host of the service that gets the route
 // begins to drain a moment later, and one control VM freezes for some seconds. After a host has got a flow as only the new
 // version allows, no request that a client sends more than rollbackSlack later may be run by the service of before.
 func relayCase(s *site, trouble bool) (bool, error) {
-	var cores []*machine
-	for i, zone := range []string{"za", "za", "zb", "zc", "zd"} {
-		cores = append(cores, s.add("core", i+1, zone, ""))
-	}
-	entry := s.add("edge", 1, "za", "")
-	var sides []*machine
-	for i, at := range []struct{ zone, service string }{
-		{"zb", "match"}, {"zb", "match"}, {"zc", "match"}, {"zb", "vault"}, {"zb", "vault"}, {"zc", "vault"},
-	} {
-		sides = append(sides, s.add("side", i+1, at.zone, at.service))
-	}
-	if err := s.startAll(); err != nil {
-		return false, err
-	}
 	c := &relayCheck{record: s.record, opened: map[flowID][]taken{}}
-	hosts := map[*machine]*host{}
-	started := 0
-	startOn := func(m *machine) error {
-		started++
-		h, err := startHost(fmt.Sprintf("i-%d", started), m, s.record, c.take)
-		hosts[m] = h
-		return err
-	}
-	for _, m := range sides {
-		if err := startOn(m); err != nil {
-			return false, err
-		}
-	}
-	services := []string{"match", "vault"}
-	if err := s.declareFirst(manifest(1, route{"r-1", relayFront, services[0]})); err != nil {
-		return false, err
-	}
-	caller, err := newClient(s, entry)
+	d, err := s.deploy("match", []place{
+		{"zb", "match"}, {"zb", "match"}, {"zc", "match"}, {"zb", "vault"}, {"zb", "vault"}, {"zc", "vault"},
+	}, c.take)
 	if err != nil {
 		return false, err
 	}
+	services := []string{"match", "vault"}
 	time.Sleep(settleTime)
-	if o := caller.request(relayFront); o.answer == "" {
-		return false, fmt.Errorf("%w: no service before the first change: %s", errCannotRun, o.why)
+	if err := d.checkService(); err != nil {
+		return false, err
 	}
 	for round := range relayRounds {
 		began := time.Now()
@@ -74,39 +43,39 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			c.requests(caller, stop, &clients)
+			c.requests(d.client, stop, &clients)
 		}()
 		if trouble {
-			cores[2].signal(syscall.SIGSTOP)
+			d.cores[2].signal(syscall.SIGSTOP)
 		}
-		if _, err := s.put(version, manifest(version, route{"r-1", relayFront, newer}), 5*time.Second, cores[:2]); err != nil {
+		if _, err := s.put(version, manifest(version, route{"r-1", front, newer}), 5*time.Second, d.cores[:2]); err != nil {
 			return false, err
 		}
 		time.Sleep(drainDelay)
-		leaves := sides[0] // the first host of the service that gets the route
+		leaves := d.sides[0] // the first host of the service that gets the route
 		if newer == "vault" {
-			leaves = sides[3]
+			leaves = d.sides[3]
 		}
-		s.record.note("host %s begins to drain", hosts[leaves].id)
-		go hosts[leaves].drain()
+		s.record.note("host %s begins to drain", d.hosts[leaves].id)
+		go d.hosts[leaves].drain()
 		time.Sleep(requestsFor - drainDelay)
 		close(stop)
 		clients.Wait()
 		if trouble {
 			time.Sleep(time.Until(began.Add(freezeTime)))
-			cores[2].signal(syscall.SIGCONT)
+			d.cores[2].signal(syscall.SIGCONT)
 		}
 		if c.judge() {
 			return true, nil
 		}
 		select {
-		case <-hosts[leaves].drained:
+		case <-d.hosts[leaves].drained:
 		case <-time.After(drainTime):
 		}
 		time.Sleep(time.Until(began.Add(drainDelay + drainTime + 2*time.Second)))
-		hosts[leaves].leave()
+		d.hosts[leaves].leave()
 		time.Sleep(time.Second)
-		if err := startOn(leaves); err != nil {
+		if err := d.startHost(leaves); err != nil {
 			return false, err
 		}
 		if round < relayRounds-1 {
@@ -153,7 +122,7 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			o := caller.request(relayFront)
+			o := caller.request(front)
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.outcomes = append(c.outcomes, o)
--- a/review/_cases/platform/stop.go
+++ b/review/_cases/platform/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,45 +21,24 @@
 // stopCase stops one agent at a time, as for a planned restart, a moment after all control VMs have lost power. No process
 // may end by itself: a stop signal must not make it crash.
 func stopCase(s *site, trouble bool) (bool, error) {
-	var cores []*machine
-	for i, zone := range []string{"za", "za", "zb", "zc", "zd"} {
-		cores = append(cores, s.add("core", i+1, zone, ""))
-	}
-	entry := s.add("edge", 1, "za", "")
-	var sides []*machine
-	for i, zone := range []string{"za", "zb", "zc"} {
-		sides = append(sides, s.add("side", i+1, zone, "match"))
-	}
-	if err := s.startAll(); err != nil {
-		return false, err
-	}
-	for i, m := range sides {
-		if _, err := startHost(fmt.Sprintf("i-%d", i+1), m, s.record, nil); err != nil {
-			return false, err
-		}
-	}
-	front := netip.MustParseAddrPort("198.18.0.1:8080")
-	if err := s.declareFirst(manifest(1, route{"r-1", front, "match"})); err != nil {
-		return false, err
-	}
-	caller, err := newClient(s, entry)
+	d, err := s.deploy("match", threeHosts, nil)
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(stopSettle)
-	if o := caller.request(front); o.answer == "" {
-		return false, fmt.Errorf("%w: no service before the first outage: %s", errCannotRun, o.why)
+	if err := d.checkService(); err != nil {
+		return false, err
 	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	clients.Add(1)
 	go func() {
 		defer clients.Done()
-		sendRequests(s.record, caller, front, stop, &clients)
+		sendRequests(d.client, stop, &clients)
 	}()
 	broken := false
 	for round := range stopRounds {
-		crashed, err := stopRound(s, cores, sides[round%len(sides)], trouble)
+		crashed, err := stopRound(d, d.sides[round%len(d.sides)], trouble)
 		if err != nil {
 			return false, err
 		}
@@ -72,10 +50,10 @@
 }
 
 // stopRound stops an agent while the control VMs are without power and reports whether it crashed.
-func stopRound(s *site, cores []*machine, agent *machine, trouble bool) (crashed bool, err error) {
+func stopRound(d *deployment, agent *machine, trouble bool) (crashed bool, err error) {
 	began := time.Now()
 	if trouble {
-		for _, m := range cores {
+		for _, m := range d.cores {
 			m.signal(syscall.SIGSTOP) // a machine without power answers nothing
 		}
 	}
@@ -83,24 +61,24 @@
 	agent.signal(syscall.SIGTERM)
 	if trouble {
 		time.Sleep(time.Until(began.Add(outageTime)))
-		for _, m := range cores {
+		for _, m := range d.cores {
 			m.signal(syscall.SIGKILL)
 			m.wait(graceTime)
-			if err := s.start(m); err != nil {
+			if err := d.start(m); err != nil {
 				return false, fmt.Errorf("%w: %w", errCannotRun, err)
 			}
 		}
 	}
 	status, code, ended := agent.wait(graceTime)
-	s.record.note("%s: ended %t, %s", agent.name, ended, status)
+	d.record.note("%s: ended %t, %s", agent.name, ended, status)
 	if !ended {
 		return false, fmt.Errorf("%s did not end within its grace time", agent.name)
 	}
 	if code != 0 {
-		s.record.note("BROKEN: %s ended by itself after the stop signal; it printed:\n%s", agent.name, panicOf(agent.log()))
+		d.record.note("BROKEN: %s ended by itself after the stop signal; it printed:\n%s", agent.name, panicOf(agent.log()))
 	}
 	time.Sleep(restartDelay)
-	if err := s.start(agent); err != nil {
+	if err := d.start(agent); err != nil {
 		return false, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
 	time.Sleep(time.Until(began.Add(stopInterval)))
@@ -127,7 +105,7 @@
 }
 
 // sendRequests sends requests at a constant rate, each on a flow of its own, and records each, until stop is closed.
-func sendRequests(r *record, caller *client, front netip.AddrPort, stop <-chan struct{}, clients *sync.WaitGroup) {
+func sendRequests(caller *client, stop <-chan struct{}, clients *sync.WaitGroup) {
 	ticker := time.NewTicker(stopPause)
 	defer ticker.Stop()
 	for {
@@ -140,7 +118,7 @@
 		go func() {
 			defer clients.Done()
 			o := caller.request(front)
-			r.note("request %s sent at %.4f: answer %q %s", o.flow.client, r.at(o.sent), o.answer, o.why)
+			caller.record.note("request %s sent at %.4f: answer %q %s", o.flow.client, caller.record.at(o.sent), o.answer, o.why)
 		}()
 	}
 }
